--- a/src/configs/daemon.rs
+++ b/src/configs/daemon.rs
@@ -3,9 +3,9 @@
 use std::fs;
 use std::net;
 
-use crate::bundle;
 use crate::configs;
 use crate::configs::settings_error;
+use crate::configs::yaml;
 use snafu::ResultExt as _;
 
 /// Settings of the daemon, read from a YAML file at start.
@@ -100,17 +100,7 @@
     ///
     /// Gives file, line, field and what was expected.
     pub fn parse(path: &str, text: &str) -> Result<Self, configs::SettingsError> {
-        let settings: Self = serde_saphyr::from_str(text).map_err(|error| {
-            let error = bundle::BundleError::from_parser(&error, text);
-            settings_error::FieldSnafu {
-                expected: error.expected,
-                field: error.field,
-                found: error.found,
-                line: error.line,
-                path,
-            }
-            .build()
-        })?;
+        let settings: Self = yaml::parse(path, text)?;
         settings.check(path, text)?;
         Ok(settings)
     }
@@ -121,7 +111,7 @@
                 expected,
                 field,
                 found,
-                line: line_of(text, field),
+                line: yaml::line_of(text, field),
                 path,
             }
             .fail()
@@ -169,18 +159,6 @@
     }
 }
 
-/// Gives the line that sets the field, from 1; 0 where the file leaves it to
-/// its default.
-fn line_of(text: &str, field: &str) -> u64 {
-    let name = field.rsplit('.').next().unwrap_or(field);
-    let sets_field = |line: &str| {
-        let rest = line.trim_start().strip_prefix(name);
-        rest.is_some_and(|rest| rest.trim_start().starts_with(':'))
-    };
-    let index = text.lines().position(sets_field);
-    index.map_or(0, |index| index as u64 + 1)
-}
-
 const fn default_caller_idle_ms() -> u64 {
     10_000
 }
--- /dev/null
+++ b/src/configs/gateway.rs
@@ -0,0 +1,183 @@
+//! Settings of the gateway: the request path in front of registered servers.
+
+use std::fs;
+use std::time;
+
+use snafu::ResultExt as _;
+
+use crate::configs;
+use crate::configs::settings_error;
+use crate::configs::yaml;
+
+/// Settings of the gateway.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct GatewayConfig {
+    /// Bodies up to this size are read whole before they go on, in bytes.
+    pub buffered_body_limit_bytes: usize,
+    /// Time to connect to a server of another region, in milliseconds.
+    pub connect_timeout_far_ms: u64,
+    /// Time to connect to a server of the own region, in milliseconds.
+    pub connect_timeout_near_ms: u64,
+    /// How long callers keep the answer to an entry-point question, in seconds.
+    pub entry_point_lifetime_s: u64,
+    /// Fewest entry VMs that callers of a zone are given.
+    pub entry_vm_min_count: usize,
+    /// Part of a zone's entry VMs that its callers are given, in percent.
+    pub entry_vm_share_percent: usize,
+    /// Longest time that a connection to a server is kept idle, in milliseconds.
+    pub idle_connection_max_ms: u64,
+    /// How much earlier than the server an idle connection is closed, in
+    /// milliseconds.
+    pub idle_connection_margin_ms: u64,
+    /// Time between keep-alive probes on connections, in milliseconds.
+    pub keepalive_ms: u64,
+    /// Time between reports of load to the region's VMs, in milliseconds.
+    pub load_report_interval_ms: u64,
+    /// Time between announcements of what this VM knows, in milliseconds.
+    pub news_interval_ms: u64,
+    /// VMs that get each announcement.
+    pub news_fanout_count: usize,
+    /// Entry VMs of each region that follow the configuration in the store.
+    pub configuration_readers_per_region: usize,
+    /// Longest wait of one read of the configuration, in milliseconds.
+    pub configuration_wait_ms: u64,
+    /// Entry VMs of each region that follow the registry in the store.
+    pub registry_readers_per_region: usize,
+    /// Time between two reads of the registry by one reader, in milliseconds.
+    pub registry_read_interval_ms: u64,
+    /// Part of the fleet's retry slack that is handed out, in percent.
+    pub retry_slack_percent: u64,
+    /// Time in which one call to the store must be answered, in milliseconds.
+    pub store_call_timeout_ms: u64,
+    /// Age of its knowledge at which any VM reads the store, in milliseconds.
+    pub store_stale_ms: u64,
+    /// Time for which sent bytes may go unacknowledged, in milliseconds.
+    pub unacknowledged_timeout_ms: u64,
+    /// Suspicion of servers that fail.
+    pub suspicion: SuspicionConfig,
+}
+
+/// Settings of the suspicion of servers that fail.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SuspicionConfig {
+    /// Log odds that a server is bad while nothing speaks for or against it.
+    pub base_log_odds: f64,
+    /// Log odds that a failed request adds.
+    pub failure_log_odds: f64,
+    /// Time constant with which evidence fades, in milliseconds.
+    pub fading_ms: f64,
+    /// Largest log odds, of either sign.
+    pub limit_log_odds: f64,
+    /// Log odds that an answer much slower than the service's mean adds.
+    pub slow_log_odds: f64,
+    /// Multiple of the service's mean run time from which an answer is slow.
+    pub slow_factor: f64,
+    /// Log odds that a good answer takes away.
+    pub success_log_odds: f64,
+}
+
+impl Default for GatewayConfig {
+    fn default() -> Self {
+        Self {
+            buffered_body_limit_bytes: 1 << 20,
+            configuration_readers_per_region: 3,
+            configuration_wait_ms: 2_000,
+            connect_timeout_far_ms: 500,
+            connect_timeout_near_ms: 250,
+            entry_point_lifetime_s: 3,
+            entry_vm_min_count: 3,
+            entry_vm_share_percent: 30,
+            idle_connection_margin_ms: 1_500,
+            idle_connection_max_ms: 30_000,
+            keepalive_ms: 1_500,
+            load_report_interval_ms: 150,
+            news_fanout_count: 2,
+            news_interval_ms: 300,
+            registry_read_interval_ms: 500,
+            registry_readers_per_region: 2,
+            retry_slack_percent: 50,
+            store_call_timeout_ms: 1_500,
+            store_stale_ms: 1_500,
+            suspicion: SuspicionConfig::default(),
+            unacknowledged_timeout_ms: 3_000,
+        }
+    }
+}
+
+impl Default for SuspicionConfig {
+    fn default() -> Self {
+        Self {
+            base_log_odds: -2.7,   // one server in 15 is bad
+            failure_log_odds: 3.7, // 0.6 of a bad server's requests fail, 0.015 of a good one's
+            fading_ms: 3_000.0,
+            limit_log_odds: 4.0,
+            slow_factor: 4.0,
+            slow_log_odds: 1.2,
+            success_log_odds: 0.9, // 0.4 of a bad server's requests succeed
+        }
+    }
+}
+
+impl GatewayConfig {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Gives file, line, field and what was expected.
+    pub fn load(path: &str) -> Result<Self, configs::SettingsError> {
+        let text = fs::read_to_string(path).context(settings_error::ReadSnafu { path })?;
+        Self::parse(path, &text)
+    }
+
+    /// Parses and checks settings; `path` is for messages only.
+    ///
+    /// # Errors
+    ///
+    /// Gives file, line, field and what was expected.
+    pub fn parse(path: &str, text: &str) -> Result<Self, configs::SettingsError> {
+        let settings: Self = yaml::parse(path, text)?;
+        let positive = [
+            ("entry_point_lifetime_s", settings.entry_point_lifetime_s),
+            ("keepalive_ms", settings.keepalive_ms),
+            ("load_report_interval_ms", settings.load_report_interval_ms),
+            ("news_interval_ms", settings.news_interval_ms),
+            (
+                "registry_read_interval_ms",
+                settings.registry_read_interval_ms,
+            ),
+            ("store_call_timeout_ms", settings.store_call_timeout_ms),
+        ];
+        let percent = [
+            (
+                "entry_vm_share_percent",
+                settings.entry_vm_share_percent as u64,
+            ),
+            ("retry_slack_percent", settings.retry_slack_percent),
+        ];
+        let refuse = |field: &str, expected: &str, found: u64| {
+            settings_error::FieldSnafu {
+                expected,
+                field,
+                found: found.to_string(),
+                line: yaml::line_of(text, field),
+                path,
+            }
+            .fail()
+        };
+        if let Some((field, found)) = positive.iter().find(|(_, value)| *value == 0) {
+            return refuse(field, "a number above 0", *found);
+        }
+        if let Some((field, found)) = percent.iter().find(|(_, value)| *value > 100) {
+            return refuse(field, "a percentage, 0 to 100", *found);
+        }
+        Ok(settings)
+    }
+
+    /// Gives the timeout of one call to the store.
+    #[must_use]
+    pub const fn store_call_timeout(&self) -> time::Duration {
+        time::Duration::from_millis(self.store_call_timeout_ms)
+    }
+}
--- /dev/null
+++ b/src/configs/yaml.rs
@@ -0,0 +1,40 @@
+//! Reads settings written in YAML.
+
+use crate::bundle;
+use crate::configs;
+use crate::configs::settings_error;
+
+/// Parses settings; `path` is for messages only.
+///
+/// # Errors
+///
+/// Gives file, line, field and what was expected.
+pub fn parse<T: serde::de::DeserializeOwned>(
+    path: &str,
+    text: &str,
+) -> Result<T, configs::SettingsError> {
+    serde_saphyr::from_str(text).map_err(|error| {
+        let error = bundle::BundleError::from_parser(&error, text);
+        settings_error::FieldSnafu {
+            expected: error.expected,
+            field: error.field,
+            found: error.found,
+            line: error.line,
+            path,
+        }
+        .build()
+    })
+}
+
+/// Gives the line that sets the field, from 1; 0 where the file leaves it to
+/// its default.
+#[must_use]
+pub fn line_of(text: &str, field: &str) -> u64 {
+    let name = field.rsplit('.').next().unwrap_or(field);
+    let sets_field = |line: &str| {
+        let rest = line.trim_start().strip_prefix(name);
+        rest.is_some_and(|rest| rest.trim_start().starts_with(':'))
+    };
+    let index = text.lines().position(sets_field);
+    index.map_or(0, |index| index as u64 + 1)
+}
--- a/src/daemon/header_names.rs
+++ b/src/daemon/header_names.rs
@@ -30,16 +30,3 @@
 
 /// Headers that only the fleet itself may send to callers.
 pub const FLEET_ANSWER_HEADERS: [&str; 5] = [KEY_PREFIX, REASON, RETRY_AFTER_MS, VERDICT, VM];
-
-/// Headers that concern one connection only and are not sent on.
-pub const CONNECTION_HEADERS: [&str; 9] = [
-    "connection",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "transfer-encoding",
-    "upgrade",
-];
--- a/src/daemon/keyed_entry.rs
+++ b/src/daemon/keyed_entry.rs
@@ -17,6 +17,7 @@
 use crate::daemon::reply;
 use crate::daemon::server_client;
 use crate::daemon::stored;
+use crate::http1;
 use crate::peer;
 use crate::state_machine::StateMachine as _;
 use crate::telemetry;
@@ -210,7 +211,7 @@
 
 fn pass_on(answer: response::Response, deadline: tokio::time::Instant) -> response::Response {
     let (mut head, body) = answer.into_parts();
-    server_client::remove_connection_headers(&mut head.headers);
+    http1::remove_connection_headers(&mut head.headers);
     let body = daemon::AnswerBody::new(body, deadline, |_| {});
     response::Response::from_parts(head, volo_http::body::Body::from_body(body))
 }
--- a/src/daemon/runner.rs
+++ b/src/daemon/runner.rs
@@ -16,6 +16,7 @@
 use crate::daemon::header_names;
 use crate::daemon::server_client;
 use crate::health;
+use crate::http1;
 use crate::telemetry;
 use crate::verdict;
 
@@ -271,7 +272,7 @@
         let failed = answer.status().is_server_error();
         let latency_us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
         let (mut head, body) = answer.into_parts();
-        server_client::remove_connection_headers(&mut head.headers);
+        http1::remove_connection_headers(&mut head.headers);
         for name in header_names::FLEET_ANSWER_HEADERS {
             head.headers.remove(name);
         }
--- a/src/daemon/server_client.rs
+++ b/src/daemon/server_client.rs
@@ -11,6 +11,7 @@
 
 use crate::daemon::header_names;
 use crate::daemon::reply;
+use crate::http1;
 
 /// Idle connections kept per server. 36 entry VMs with 6 each stay well below
 /// the 330 connections that a server accepts.
@@ -107,23 +108,6 @@
     )
 }
 
-/// Removes the headers that concern one connection only.
-pub fn remove_connection_headers(headers: &mut http::HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(http::header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    for name in header_names::CONNECTION_HEADERS {
-        headers.remove(name);
-    }
-}
-
 /// Gives the head of the request that is sent on: the caller's head without
 /// connection headers, with the request's id and the time that is left.
 #[must_use]
@@ -134,7 +118,7 @@
 ) -> http::request::Parts {
     let mut onward = head.clone();
     onward.extensions.clear();
-    remove_connection_headers(&mut onward.headers);
+    http1::remove_connection_headers(&mut onward.headers);
     onward.headers.remove(http::header::HOST);
     onward.headers.remove(header_names::HOP);
     reply::set(&mut onward.headers, header_names::REQUEST_ID, request_id);
--- /dev/null
+++ b/src/gateway/backend_board.rs
@@ -0,0 +1,357 @@
+//! Load and health of the backend servers, and the choice between them.
+
+use std::net;
+use std::sync;
+
+use crate::configs::gateway as configs;
+use crate::gateway;
+use crate::ports;
+
+/// Age at which another VM's report of its load counts no more, in
+/// milliseconds: ten reports.
+const REPORT_MAX_AGE_MS: u64 = 1_500;
+/// Time for which a refusal by a full server counts as load, in milliseconds.
+const SHED_MEMORY_MS: u64 = 400;
+/// Time for which a server is left alone after a failed connection, in
+/// milliseconds.
+const UNREACHABLE_MS: u64 = 1_500;
+/// Weight of the newest sample in a service's mean run time.
+const RUN_TIME_GAIN: f64 = 0.05;
+/// Run time assumed before the first answer, in milliseconds.
+const FIRST_RUN_TIME_MS: f64 = 300.0;
+/// Probability from which on a server is a suspect.
+const SUSPECT_PROBABILITY: f64 = 0.3;
+/// Part of the suspicion that counts for suspects that must not be avoided.
+const SPARED_SUSPICION: f64 = 0.1;
+/// What a certainly failing server costs, as load: more than another zone and
+/// another region, less than a server that cannot be reached.
+const SUSPICION_COST: f64 = 2.5;
+/// What a server that cannot be reached costs, as load.
+const UNREACHABLE_COST: f64 = 4.0;
+/// What a server that has just refused a request costs, as load.
+const SHED_COST: f64 = 0.5;
+/// Slots that count of a server that is still warming up.
+const WARMING_SLOTS: f64 = 0.5;
+/// Spread of the draw that decides between equals, as load.
+const TIE_SPREAD: f64 = 0.1;
+
+/// Load and health of the backend servers, as this VM and the others of its
+/// region see them together.
+#[derive(Debug)]
+pub struct BackendBoard {
+    config: configs::SuspicionConfig,
+    lifetimes: indexmap::IndexMap<u64, Track>,
+    min_share_permille: u64,
+    own: indexmap::IndexMap<String, Vec<u64>>,
+    reports: indexmap::IndexMap<net::SocketAddr, PeerLoad>,
+    run_time_ms: indexmap::IndexMap<String, f64>,
+}
+
+/// What is known of one lifetime of a server.
+#[derive(Debug)]
+struct Track {
+    backend: sync::Arc<ports::Backend>,
+    in_flight: u32,
+    registered_ms: u64,
+    shed_ms: Option<u64>,
+    suspicion: gateway::Suspicion,
+    unreachable_until_ms: u64,
+}
+
+#[derive(Debug)]
+struct PeerLoad {
+    at_ms: u64,
+    in_flight: indexmap::IndexMap<u64, u32>,
+}
+
+/// What a server is looked for.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceRequest<'a> {
+    /// The VM's availability zone.
+    pub availability_zone: &'a str,
+    /// Lifetimes that were tried.
+    pub excluded: &'a [u64],
+    /// The VM's region.
+    pub region: &'a str,
+    /// The service.
+    pub service: &'a str,
+    /// What another zone costs, as load of a server.
+    pub zone_cost: f64,
+    /// What another region costs, as load of a server.
+    pub region_cost: f64,
+    /// A draw in `0.0..1.0`, to break ties.
+    pub draw: f64,
+}
+
+/// The server that was chosen, and why.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The server.
+    pub backend: sync::Arc<ports::Backend>,
+    /// Candidates that it was chosen from.
+    pub candidate_count: usize,
+    /// Requests in flight on it before, from all VMs that report.
+    pub in_flight: u32,
+    /// Whether it is in the VM's region.
+    pub is_near: bool,
+    /// Names its lifetime.
+    pub lifetime: u64,
+    /// Probability that it is failing.
+    pub suspicion: f64,
+}
+
+/// What one VM tells the others of its region.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct LoadReport {
+    /// Requests that it has in flight, by lifetime.
+    pub in_flight: Vec<(u64, u32)>,
+}
+
+impl BackendBoard {
+    /// Gives a board without servers. Of a service's servers, at least
+    /// `min_share_permille` are never avoided for suspicion.
+    #[must_use]
+    pub fn new(config: configs::SuspicionConfig, min_share_permille: u64) -> Self {
+        Self {
+            config,
+            lifetimes: indexmap::IndexMap::new(),
+            min_share_permille,
+            own: indexmap::IndexMap::new(),
+            reports: indexmap::IndexMap::new(),
+            run_time_ms: indexmap::IndexMap::new(),
+        }
+    }
+
+    /// Takes over the servers that are registered now. What is known of a
+    /// lifetime that goes on stays.
+    pub fn set_backends<'a>(
+        &mut self,
+        now_ms: u64,
+        backends: impl Iterator<Item = &'a sync::Arc<ports::Backend>>,
+    ) {
+        let mut lifetimes = indexmap::IndexMap::new();
+        self.own.clear();
+        for backend in backends {
+            let lifetime = backend.lifetime();
+            let known = self.lifetimes.swap_remove(&lifetime);
+            let track = known.map_or_else(
+                || Track {
+                    backend: sync::Arc::clone(backend),
+                    in_flight: 0,
+                    registered_ms: now_ms,
+                    shed_ms: None,
+                    suspicion: gateway::Suspicion::new(&self.config),
+                    unreachable_until_ms: 0,
+                },
+                |track| Track {
+                    backend: sync::Arc::clone(backend),
+                    ..track
+                },
+            );
+            lifetimes.insert(lifetime, track);
+            let of_service = self.own.entry(backend.service.clone()).or_default();
+            of_service.push(lifetime);
+        }
+        self.lifetimes = lifetimes;
+    }
+
+    /// Gives the server for a request and counts it as in flight there.
+    ///
+    /// The least loaded server wins; distance, warm-up and suspicion count as
+    /// load. Suspicion counts in full only for as many servers as leave the
+    /// service its minimum share, the most suspect ones.
+    pub fn choose(&mut self, now_ms: u64, request: &ChoiceRequest<'_>) -> Option<Choice> {
+        let of_service = self.own.get(request.service)?;
+        let candidates: Vec<(u64, f64)> = of_service
+            .iter()
+            .filter(|lifetime| !request.excluded.contains(lifetime))
+            .filter_map(|lifetime| {
+                let track = self.lifetimes.get(lifetime)?;
+                let is_ready = track.backend.state == ports::BackendState::Ready;
+                is_ready.then(|| {
+                    let suspicion = track.suspicion.probability(&self.config, now_ms);
+                    (*lifetime, suspicion)
+                })
+            })
+            .collect();
+        let avoided = self.avoided(&candidates);
+        let best = candidates
+            .iter()
+            .filter_map(|&(lifetime, suspicion)| {
+                let is_avoided = avoided.contains(&lifetime);
+                let counted = if is_avoided {
+                    suspicion
+                } else {
+                    suspicion * SPARED_SUSPICION
+                };
+                let cost = self.cost(now_ms, lifetime, counted, request)?;
+                Some((cost, lifetime, suspicion))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let (_, lifetime, suspicion) = best;
+        let in_flight = self.in_flight(now_ms, lifetime);
+        let track = self.lifetimes.get_mut(&lifetime)?;
+        track.in_flight += 1;
+        Some(Choice {
+            backend: sync::Arc::clone(&track.backend),
+            candidate_count: candidates.len(),
+            in_flight,
+            is_near: request.region == track.backend.region,
+            lifetime,
+            suspicion,
+        })
+    }
+
+    /// Notes that a request has left a server.
+    pub fn note_end(&mut self, lifetime: u64) {
+        if let Some(track) = self.lifetimes.get_mut(&lifetime) {
+            track.in_flight = track.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes what a request says of its server. Gives whether other VMs
+    /// should learn of it: failures, and good answers of a suspect.
+    pub fn note_evidence(
+        &mut self,
+        now_ms: u64,
+        lifetime: u64,
+        evidence: gateway::Evidence,
+    ) -> bool {
+        let Some(track) = self.lifetimes.get_mut(&lifetime) else {
+            return false;
+        };
+        let before = track.suspicion.probability(&self.config, now_ms);
+        track.suspicion.note(&self.config, now_ms, evidence);
+        evidence != gateway::Evidence::Success || before >= SUSPECT_PROBABILITY
+    }
+
+    /// Notes how long an answered request ran, and gives what that says of
+    /// its server.
+    pub fn note_run_time(&mut self, service: &str, run_ms: f64) -> gateway::Evidence {
+        let mean_ms = self
+            .run_time_ms
+            .entry(service.to_owned())
+            .or_insert(FIRST_RUN_TIME_MS);
+        let is_slow = run_ms > *mean_ms * self.config.slow_factor;
+        let sample_ms = run_ms.min(*mean_ms * self.config.slow_factor);
+        *mean_ms += (sample_ms - *mean_ms) * RUN_TIME_GAIN;
+        if is_slow {
+            gateway::Evidence::Slow
+        } else {
+            gateway::Evidence::Success
+        }
+    }
+
+    /// Gives the mean run time of a service's requests, in milliseconds.
+    #[must_use]
+    pub fn mean_run_ms(&self, service: &str) -> f64 {
+        let known = self.run_time_ms.get(service);
+        known.copied().unwrap_or(FIRST_RUN_TIME_MS)
+    }
+
+    /// Notes that a server refused a request because it was full.
+    pub fn note_shed(&mut self, now_ms: u64, lifetime: u64) {
+        if let Some(track) = self.lifetimes.get_mut(&lifetime) {
+            track.shed_ms = Some(now_ms);
+        }
+    }
+
+    /// Notes that no connection to a server could be made.
+    pub fn note_unreachable(&mut self, now_ms: u64, lifetime: u64) {
+        if let Some(track) = self.lifetimes.get_mut(&lifetime) {
+            track.unreachable_until_ms = now_ms + UNREACHABLE_MS;
+        }
+    }
+
+    /// Takes in another VM's report.
+    pub fn note_report(&mut self, now_ms: u64, from: net::SocketAddr, report: LoadReport) {
+        let load = PeerLoad {
+            at_ms: now_ms,
+            in_flight: report.in_flight.into_iter().collect(),
+        };
+        self.reports.insert(from, load);
+        self.reports
+            .retain(|_, load| load.at_ms + REPORT_MAX_AGE_MS > now_ms);
+    }
+
+    /// Gives this VM's report.
+    #[must_use]
+    pub fn report(&self) -> LoadReport {
+        let busy = self
+            .lifetimes
+            .iter()
+            .filter(|(_, track)| track.in_flight > 0);
+        LoadReport {
+            in_flight: busy
+                .map(|(lifetime, track)| (*lifetime, track.in_flight))
+                .collect(),
+        }
+    }
+
+    /// Gives the most suspect servers, so many that the others are the
+    /// service's minimum share.
+    fn avoided(&self, candidates: &[(u64, f64)]) -> Vec<u64> {
+        let mut suspects: Vec<(u64, f64)> = candidates
+            .iter()
+            .copied()
+            .filter(|(_, suspicion)| *suspicion >= SUSPECT_PROBABILITY)
+            .collect();
+        suspects.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let most = candidates.len() as u64 * (1_000 - self.min_share_permille) / 1_000;
+        suspects.truncate(usize::try_from(most).unwrap_or(0));
+        suspects.into_iter().map(|(lifetime, _)| lifetime).collect()
+    }
+
+    fn cost(
+        &self,
+        now_ms: u64,
+        lifetime: u64,
+        suspicion: f64,
+        request: &ChoiceRequest<'_>,
+    ) -> Option<f64> {
+        let track = self.lifetimes.get(&lifetime)?;
+        let backend = &track.backend;
+        let is_warming = track.registered_ms + backend.warmup_left_ms > now_ms;
+        let warmth = if is_warming { WARMING_SLOTS } else { 1.0 };
+        let slots = f64::from(backend.slot_count.max(1)) * warmth;
+        let mut cost = f64::from(self.in_flight(now_ms, lifetime)) / slots;
+        if backend.region != request.region {
+            cost += request.region_cost;
+        } else if backend.availability_zone != request.availability_zone {
+            cost += request.zone_cost;
+        }
+        if track
+            .shed_ms
+            .is_some_and(|at_ms| at_ms + SHED_MEMORY_MS > now_ms)
+        {
+            cost += SHED_COST;
+        }
+        if now_ms < track.unreachable_until_ms {
+            cost += UNREACHABLE_COST;
+        }
+        cost += SUSPICION_COST * suspicion;
+        Some(cost + TIE_SPREAD * tie_break(lifetime, request.draw))
+    }
+
+    fn in_flight(&self, now_ms: u64, lifetime: u64) -> u32 {
+        let own = self
+            .lifetimes
+            .get(&lifetime)
+            .map_or(0, |track| track.in_flight);
+        let fresh = self.reports.values();
+        let fresh = fresh.filter(|load| load.at_ms + REPORT_MAX_AGE_MS > now_ms);
+        let others = fresh.filter_map(|load| load.in_flight.get(&lifetime));
+        own + others.sum::<u32>()
+    }
+}
+
+/// Gives a number in `0.0..1.0` that orders lifetimes differently for each
+/// draw.
+fn tie_break(lifetime: u64, draw: f64) -> f64 {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "only the order of the numbers matters"
+    )]
+    let spread = (lifetime >> 11) as f64 / (1_u64 << 53) as f64;
+    (spread + draw).fract()
+}
--- /dev/null
+++ b/src/gateway/backend_table.rs
@@ -0,0 +1,253 @@
+//! The registry of backend servers as this VM knows it.
+
+use std::sync;
+
+use crate::ports;
+
+/// Gap without news from the store that counts as an outage, in milliseconds.
+/// A reader reads several times in this span.
+const OUTAGE_GAP_MS: u64 = 2_000;
+/// Time after an outage in which servers register again, in milliseconds; the
+/// platform promises two seconds.
+const REGISTRATION_GRACE_MS: u64 = 2_000;
+
+/// The registry of backend servers as this VM knows it.
+///
+/// Rows come from the store or from other VMs; of two rows of one key the one
+/// with the higher offset holds. What the store dropped during an outage is
+/// used on until servers have had time to register again.
+#[derive(Clone, Debug, Default)]
+pub struct BackendTable {
+    change_offset: u64,
+    confirmed_ms: Option<u64>,
+    grace_until_ms: u64,
+    next_offset: u64,
+    rows: indexmap::IndexMap<String, BackendRow>,
+}
+
+/// What is known of one key of the registry.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct BackendRow {
+    /// The server; nothing when it has left or its record cannot be read.
+    pub backend: Option<sync::Arc<ports::Backend>>,
+    /// Offset of the record that changed it last.
+    pub change_offset: u64,
+    /// When a removal takes effect that may be due to an outage, in
+    /// milliseconds of this VM's clock, and its offset.
+    #[serde(skip)]
+    pub lapse: Option<(u64, u64)>,
+}
+
+/// A change of the registry, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendChange {
+    /// Why the record names no server, if it cannot be read.
+    pub fault: Option<String>,
+    /// The server's key.
+    pub key: String,
+    /// Offset of the record.
+    pub offset: u64,
+    /// What is known now; nothing when the server has left.
+    pub backend: Option<sync::Arc<ports::Backend>>,
+}
+
+impl BackendTable {
+    /// Gives the offset of the newest change that is known.
+    #[must_use]
+    pub const fn change_offset(&self) -> u64 {
+        self.change_offset
+    }
+
+    /// Gives where the next read of changes goes on; nothing before the first
+    /// full read.
+    #[must_use]
+    pub const fn next_offset(&self) -> Option<u64> {
+        if self.confirmed_ms.is_none() {
+            return None;
+        }
+        Some(self.next_offset)
+    }
+
+    /// Gives when the table was last known to be complete.
+    #[must_use]
+    pub const fn confirmed_ms(&self) -> Option<u64> {
+        self.confirmed_ms
+    }
+
+    /// Gives the servers that are registered.
+    pub fn backends(&self) -> impl Iterator<Item = &sync::Arc<ports::Backend>> {
+        self.rows.values().filter_map(|row| row.backend.as_ref())
+    }
+
+    /// Gives the rows that changed after an offset.
+    pub fn rows_after(&self, offset: u64) -> impl Iterator<Item = (&String, &BackendRow)> {
+        let is_newer = move |row: &&BackendRow| row.change_offset > offset;
+        self.rows.iter().filter(move |(_, row)| is_newer(row))
+    }
+
+    /// Notes that the table was complete at `confirmed_ms`.
+    pub fn confirm(&mut self, now_ms: u64, confirmed_ms: u64) {
+        let last_ms = self.confirmed_ms.unwrap_or(confirmed_ms);
+        if confirmed_ms.saturating_sub(last_ms) > OUTAGE_GAP_MS {
+            self.grace_until_ms = now_ms + REGISTRATION_GRACE_MS;
+        }
+        self.confirmed_ms = Some(last_ms.max(confirmed_ms));
+    }
+
+    /// Takes in changes that were read from the store.
+    pub fn apply_changes(
+        &mut self,
+        now_ms: u64,
+        page: ports::FeedPage<ports::Backend>,
+    ) -> Vec<BackendChange> {
+        let changes = page.entries.into_iter();
+        let changes = changes
+            .filter_map(|entry| self.apply(now_ms, entry))
+            .collect();
+        self.next_offset = self.next_offset.max(page.next_offset);
+        changes
+    }
+
+    /// Takes in the newest records of all keys. What is not among them has
+    /// been removed.
+    pub fn apply_newest(
+        &mut self,
+        now_ms: u64,
+        page: ports::FeedPage<ports::Backend>,
+    ) -> Vec<BackendChange> {
+        let listed: indexmap::IndexSet<&String> =
+            page.entries.iter().map(|entry| &entry.key).collect();
+        let removed_offset = page.next_offset.saturating_sub(1);
+        let missing: Vec<String> = self
+            .rows
+            .iter()
+            .filter(|(key, row)| row.change_offset < page.next_offset && !listed.contains(key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let mut changes: Vec<BackendChange> = missing
+            .into_iter()
+            .filter_map(|key| {
+                let entry = ports::FeedEntry {
+                    key,
+                    offset: removed_offset,
+                    value: Ok(None),
+                };
+                self.apply(now_ms, entry)
+            })
+            .collect();
+        changes.extend(self.apply_changes(now_ms, page));
+        changes
+    }
+
+    /// Takes in rows of another VM.
+    pub fn merge(
+        &mut self,
+        rows: indexmap::IndexMap<String, BackendRow>,
+        next_offset: u64,
+    ) -> Vec<BackendChange> {
+        let mut changes = Vec::new();
+        for (key, row) in rows {
+            let known = self.rows.get(&key);
+            if known.is_some_and(|known| known.change_offset >= row.change_offset) {
+                continue;
+            }
+            self.change_offset = self.change_offset.max(row.change_offset);
+            if known.is_none_or(|known| known.backend != row.backend) {
+                changes.push(BackendChange {
+                    backend: row.backend.clone(),
+                    fault: None,
+                    key: key.clone(),
+                    offset: row.change_offset,
+                });
+            }
+            self.rows.insert(key, row);
+        }
+        self.next_offset = self.next_offset.max(next_offset);
+        changes
+    }
+
+    /// Takes out the servers that did not register again after an outage.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<BackendChange> {
+        let mut changes = Vec::new();
+        for (key, row) in &mut self.rows {
+            let Some((_, offset)) = row.lapse.filter(|(due_ms, _)| *due_ms <= now_ms) else {
+                continue;
+            };
+            *row = BackendRow {
+                backend: None,
+                change_offset: offset,
+                lapse: None,
+            };
+            self.change_offset = self.change_offset.max(offset);
+            changes.push(BackendChange {
+                backend: None,
+                fault: None,
+                key: key.clone(),
+                offset,
+            });
+        }
+        changes
+    }
+
+    fn apply(
+        &mut self,
+        now_ms: u64,
+        entry: ports::FeedEntry<ports::Backend>,
+    ) -> Option<BackendChange> {
+        let known = self.rows.get_mut(&entry.key);
+        if known
+            .as_ref()
+            .is_some_and(|row| row.change_offset > entry.offset)
+        {
+            return None;
+        }
+        let (backend, fault) = match entry.value {
+            Ok(backend) => (backend, None),
+            Err(fault) => (None, Some(fault)),
+        };
+        if let Some(row) = known {
+            let is_registered = row.backend.is_some();
+            if backend.is_none() && fault.is_none() && is_registered && now_ms < self.grace_until_ms
+            {
+                row.lapse.get_or_insert((self.grace_until_ms, entry.offset));
+                return None;
+            }
+            row.lapse = None;
+            if is_same(row.backend.as_deref(), backend.as_ref()) {
+                return None;
+            }
+        } else if backend.is_none() && fault.is_none() {
+            return None;
+        }
+        let backend = backend.map(sync::Arc::new);
+        let row = BackendRow {
+            backend: backend.clone(),
+            change_offset: entry.offset,
+            lapse: None,
+        };
+        self.rows.insert(entry.key.clone(), row);
+        self.change_offset = self.change_offset.max(entry.offset);
+        Some(BackendChange {
+            backend,
+            fault,
+            key: entry.key,
+            offset: entry.offset,
+        })
+    }
+}
+
+/// Tells whether two records say the same but for the warm-up, which each of
+/// them counts down.
+fn is_same(known: Option<&ports::Backend>, new: Option<&ports::Backend>) -> bool {
+    match (known, new) {
+        (None, None) => true,
+        (Some(known), Some(new)) => {
+            let known = ports::Backend {
+                warmup_left_ms: new.warmup_left_ms,
+                ..known.clone()
+            };
+            known == *new
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/src/gateway/caller_listener.rs
@@ -0,0 +1,119 @@
+//! Accepts callers and serves their connections.
+
+use std::convert;
+use std::future;
+use std::net;
+use std::pin;
+use std::sync;
+use std::time;
+
+use hyper::server::conn::http1 as hyper_server;
+use hyper_util::rt;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::gateway;
+use crate::gateway::answer;
+use crate::http1;
+use crate::ports;
+use crate::telemetry;
+
+/// Bounds on callers before the first configuration.
+const FIRST_LIMITS: ports::RequestLimits = ports::RequestLimits {
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+    max_body_bytes: 1 << 26,
+    max_header_bytes: 16_384,
+};
+/// Pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Smallest read buffer that the server library takes.
+const MIN_BUFFER_BYTES: usize = 8_192;
+/// Time for which a caller that is cut off keeps its connection.
+const CALLER_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// Gives the answer to one request.
+pub type Handler = sync::Arc<
+    dyn Fn(http::Request<hyper::body::Incoming>) -> ports::BoxFuture<'static, answer::Answer>
+        + Send
+        + Sync,
+>;
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Gives the operating system's error.
+pub async fn listen(address: net::SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Accepts connections until `closing` becomes true; connections then end
+/// after the request that they carry.
+pub async fn serve(
+    shared: sync::Arc<gateway::Shared>,
+    listener: TcpListener,
+    handler: Handler,
+    mut closing: watch::Receiver<bool>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let handler = sync::Arc::clone(&handler);
+                let limits = limits(&shared);
+                tokio::spawn(serve_connection(stream, handler, limits, closing.clone()));
+            }
+            Err(error) => {
+                telemetry::Event::PortFailed.warn(&format!("name=accept.failed error=\"{error}\""));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn limits(shared: &gateway::Shared) -> ports::RequestLimits {
+    let snapshot = shared.snapshot.load();
+    let routes = snapshot.routes.as_ref();
+    routes.map_or(FIRST_LIMITS, |routes| routes.configuration.limits)
+}
+
+async fn serve_connection(
+    stream: tokio::net::TcpStream,
+    handler: Handler,
+    limits: ports::RequestLimits,
+    mut closing: watch::Receiver<bool>,
+) {
+    let options = http1::SocketOptions {
+        connect_timeout: CALLER_TIMEOUT,
+        keepalive: CALLER_TIMEOUT,
+        unacknowledged_timeout: CALLER_TIMEOUT,
+    };
+    // A connection that cannot be watched is served all the same.
+    let _ = http1::watch_peer(&stream, &options);
+    let service = hyper::service::service_fn(move |request| {
+        let answering = handler(request);
+        async move { Ok::<_, convert::Infallible>(answering.await) }
+    });
+    let connection = hyper_server::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(time::Duration::from_millis(limits.idle_timeout_ms))
+        .max_header_size(limits.max_header_bytes)
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES) * 2)
+        .serve_connection(rt::TokioIo::new(stream), service);
+    let mut connection = pin::pin!(connection);
+    let is_closing = async {
+        if closing.wait_for(|closing| *closing).await.is_err() {
+            future::pending::<()>().await;
+        }
+    };
+    // How a caller's connection ends is seen from its requests.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = is_closing => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/src/gateway/knowledge.rs
@@ -0,0 +1,101 @@
+//! What this VM knows of the store, and how new that is.
+
+use std::sync;
+
+use crate::context;
+use crate::gateway;
+use crate::gateway::fleet_service;
+
+/// Time that a message is taken to be under way when ages are passed on, in
+/// milliseconds: a trip between regions and a wait in a queue.
+const TRANSIT_MS: u64 = 50;
+
+/// What this VM knows of the store, and how new that is.
+pub struct Knowledge {
+    /// The registry.
+    pub backends: gateway::BackendTable,
+    /// When no newer configuration existed for certain.
+    pub configuration_confirmed_ms: Option<u64>,
+    /// Where reading configurations goes on.
+    pub configuration_next_offset: Option<u64>,
+    /// The routes in force.
+    pub routes: Option<sync::Arc<gateway::RouteIndex>>,
+    clock: sync::Arc<dyn context::Clock>,
+}
+
+impl Knowledge {
+    /// Gives the knowledge of a VM that has just started.
+    #[must_use]
+    pub fn new(clock: sync::Arc<dyn context::Clock>) -> Self {
+        Self {
+            backends: gateway::BackendTable::default(),
+            clock,
+            configuration_confirmed_ms: None,
+            configuration_next_offset: None,
+            routes: None,
+        }
+    }
+
+    /// Gives the version in force; 0 before the first.
+    #[must_use]
+    pub fn configuration_version(&self) -> u64 {
+        let routes = self.routes.as_ref();
+        routes.map_or(0, |routes| routes.configuration.version)
+    }
+
+    /// Takes over how new another VM's knowledge is where both know the same.
+    pub fn confirm_from(&mut self, now_ms: u64, news: &gateway::News) {
+        let confirmed = |age_ms: u64| now_ms.saturating_sub(age_ms + TRANSIT_MS);
+        if news.registry_offset == self.backends.change_offset()
+            && let Some(age_ms) = news.registry_age_ms
+        {
+            self.backends.confirm(now_ms, confirmed(age_ms));
+        }
+        if news.configuration_version == self.configuration_version()
+            && let Some(age_ms) = news.configuration_age_ms
+        {
+            let known_ms = self.configuration_confirmed_ms.unwrap_or(0);
+            self.configuration_confirmed_ms = Some(known_ms.max(confirmed(age_ms)));
+        }
+    }
+
+    /// Gives how new this VM's knowledge is.
+    #[must_use]
+    pub fn news(&self, now_ms: u64) -> gateway::News {
+        let age = |confirmed_ms: u64| now_ms.saturating_sub(confirmed_ms);
+        gateway::News {
+            configuration_age_ms: self.configuration_confirmed_ms.map(age),
+            configuration_version: self.configuration_version(),
+            registry_age_ms: self.backends.confirmed_ms().map(age),
+            registry_offset: self.backends.change_offset(),
+        }
+    }
+}
+
+/// Tells whether the registry has been read or pulled as a whole.
+#[must_use]
+pub fn is_known(knowledge: &Knowledge) -> bool {
+    knowledge.backends.next_offset().is_some()
+}
+
+/// Gives this VM's knowledge to others.
+pub struct KnowledgeSource(pub sync::Arc<sync::Mutex<Knowledge>>);
+
+impl fleet_service::StateSource for KnowledgeSource {
+    fn state_after(
+        &self,
+        registry_offset: u64,
+        configuration_version: u64,
+    ) -> Option<fleet_service::PulledState> {
+        let knowledge = self.0.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let routes = knowledge.routes.as_ref();
+        let newer = routes.filter(|routes| routes.configuration.version > configuration_version);
+        let rows = knowledge.backends.rows_after(registry_offset);
+        Some(fleet_service::PulledState {
+            configuration: newer.map(|routes| routes.configuration.as_ref().clone()),
+            news: knowledge.news(knowledge.clock.now_ms()),
+            registry_next_offset: knowledge.backends.next_offset().unwrap_or(0),
+            rows: rows.map(|(key, row)| (key.clone(), row.clone())).collect(),
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/metrics_page.rs
@@ -0,0 +1,58 @@
+//! Answers questions about this VM: readiness, entry points, metrics.
+
+use std::net;
+use std::sync;
+
+use crate::gateway;
+use crate::gateway::answer;
+use crate::gateway::entry_points;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers a question about this VM.
+pub fn answer_question(
+    shared: &sync::Arc<gateway::Shared>,
+    request: &http::Request<hyper::body::Incoming>,
+) -> answer::Answer {
+    let path = request.uri().path();
+    if path == shared.entry_points.readiness_path() {
+        return if shared.is_ready() {
+            answer::plain(http::StatusCode::OK, "ready")
+        } else {
+            answer::plain(http::StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        };
+    }
+    if path == METRICS_PATH {
+        return answer::plain(http::StatusCode::OK, &shared.metrics.render());
+    }
+    let Some(query) = shared.entry_points.parse(request.uri()) else {
+        return answer::plain(http::StatusCode::NOT_FOUND, "no such page");
+    };
+    shared.metrics.counters.add("entry-points.asked");
+    let snapshot = shared.snapshot.load();
+    let chosen = entry_points::choose(
+        &shared.config,
+        &snapshot.vms,
+        &query.availability_zone,
+        &query.region,
+    );
+    let addresses: Vec<net::SocketAddr> = chosen.iter().map(|vm| vm.caller_address).collect();
+    if addresses.is_empty() {
+        return answer::plain(
+            http::StatusCode::SERVICE_UNAVAILABLE,
+            "no entry VM is known",
+        );
+    }
+    let lifetime_s = shared
+        .config
+        .entry_point_lifetime_s
+        .min(shared.bounds.entry_point_lifetime_max_s);
+    let (media_type, body) = shared.entry_points.render(&addresses, lifetime_s);
+    let mut answered = http::Response::new(answer::whole(body));
+    let media_type = http::HeaderValue::from_static(media_type);
+    answered
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, media_type);
+    answered
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,52 @@
+//! The request path in front of backend servers that register themselves.
+//!
+//! Decisions are taken by plain types without clock or socket
+//! ([`BackendBoard`], [`BackendTable`], [`ReadSchedule`], [`RetryLedger`],
+//! [`next_step`]); the rest of the module feeds them and carries them out.
+//! One thread runs control, another one traffic.
+
+mod answer;
+mod attempt;
+mod backend_board;
+mod backend_connections;
+mod backend_table;
+mod caller_listener;
+mod control;
+mod entry_points;
+mod fleet_message;
+mod fleet_service;
+mod gateway_bounds;
+mod gateway_ports;
+mod identity;
+mod knowledge;
+mod leave;
+mod metrics;
+mod metrics_page;
+mod next_step;
+mod proxy;
+mod read_schedule;
+mod retry_ledger;
+mod route_index;
+mod shared;
+mod snapshot;
+mod start;
+mod suspicion;
+mod work;
+
+pub use backend_board::{BackendBoard, Choice, ChoiceRequest, LoadReport};
+pub use backend_connections::BackendConnections;
+pub use backend_table::{BackendChange, BackendRow, BackendTable};
+pub use entry_points::{EntryVm, choose as choose_entry_points};
+pub use fleet_message::{FleetMessage, News};
+pub use gateway_bounds::GatewayBounds;
+pub use gateway_ports::GatewayPorts;
+pub use identity::Identity;
+pub use metrics::Metrics;
+pub use next_step::{AttemptEnd, NextStep, RetryRoom, next_step};
+pub use read_schedule::ReadSchedule;
+pub use retry_ledger::RetryLedger;
+pub use route_index::RouteIndex;
+pub use shared::Shared;
+pub use snapshot::Snapshot;
+pub use start::{GatewayParts, SettingsSource, run};
+pub use suspicion::{Evidence, Suspicion};
--- /dev/null
+++ b/src/gateway/start.rs
@@ -0,0 +1,253 @@
+//! Starts the gateway's threads and ends them.
+
+use std::io;
+use std::sync;
+use std::thread;
+
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::runtime;
+use tokio::signal::unix;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::configs;
+use crate::context;
+use crate::gateway;
+use crate::gateway::caller_listener;
+use crate::gateway::control;
+use crate::gateway::fleet_service;
+use crate::gateway::leave;
+use crate::gateway::metrics_page;
+use crate::gateway::proxy;
+use crate::health;
+use crate::membership;
+use crate::telemetry;
+
+/// Messages that may wait to be sent to the region's VMs.
+const OUTBOX_MESSAGES: usize = 512;
+/// Names this part of the process to the random generator.
+const RANDOM_STREAM: u64 = 0x6761_7465;
+/// Time in which a VM that does not answer must answer for itself, in
+/// milliseconds. Suspects are left out of the entry points at once.
+const SUSPICION_TIMEOUT_MS: u64 = 5_000;
+
+/// Gives the settings again, for a reload.
+pub trait SettingsSource: Send + Sync {
+    /// Reads who this VM is.
+    ///
+    /// # Errors
+    ///
+    /// Gives file, field and what was expected.
+    fn read(&self) -> Result<gateway::Identity, String>;
+}
+
+/// What the gateway is started with.
+pub struct GatewayParts {
+    /// Bounds of the platform's contract.
+    pub bounds: gateway::GatewayBounds,
+    /// Settings.
+    pub config: configs::GatewayConfig,
+    /// Clock and seed.
+    pub context: context::Context,
+    /// Who this VM is.
+    pub identity: gateway::Identity,
+    /// The platform.
+    pub ports: gateway::GatewayPorts,
+    /// Where the settings can be read again.
+    pub settings: sync::Arc<dyn SettingsSource>,
+}
+
+/// Serves until the process is asked to stop and has left.
+///
+/// # Errors
+///
+/// Gives the operating system's error when a thread or a port cannot be had.
+pub fn run(parts: GatewayParts) -> io::Result<()> {
+    let (outbox, outgoing) = mpsc::channel(OUTBOX_MESSAGES);
+    let (closing, is_closing) = watch::channel(false);
+    let ports = parts.ports.clone();
+    let context = parts.context.clone();
+    let settings = sync::Arc::clone(&parts.settings);
+    let shared = sync::Arc::new(shared(parts, outbox));
+    let identity = &shared.identity;
+    telemetry::Event::Started.info(&format!(
+        "name=started vm={} zone={} region={} callers={} peers={} seeds={}",
+        identity.vm_name,
+        identity.availability_zone,
+        identity.region,
+        identity.caller_address,
+        identity.peer_address,
+        identity.seeds.len(),
+    ));
+    let traffic = sync::Arc::clone(&shared);
+    thread::Builder::new()
+        .name("traffic".to_owned())
+        .spawn(move || {
+            if let Err(error) = run_traffic(traffic, is_closing) {
+                telemetry::Event::PortFailed.error(&format!("name=port.failed error=\"{error}\""));
+                std::process::exit(1);
+            }
+        })?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run_control(
+        shared, ports, &context, settings, outgoing, closing,
+    ))
+}
+
+fn shared(parts: GatewayParts, outbox: mpsc::Sender<gateway::FleetMessage>) -> gateway::Shared {
+    let min_share_permille = parts.bounds.min_share_permille;
+    let suspicion = parts.config.suspicion.clone();
+    gateway::Shared {
+        board: sync::Mutex::new(gateway::BackendBoard::new(suspicion, min_share_permille)),
+        bounds: parts.bounds,
+        clock: parts.context.clock,
+        config: parts.config,
+        connections: gateway::BackendConnections::default(),
+        entry_points: parts.ports.entry_points,
+        headers: parts.ports.headers,
+        identity: parts.identity,
+        in_flight: sync::atomic::AtomicUsize::new(0),
+        is_leaving: sync::atomic::AtomicBool::new(false),
+        journal: telemetry::Journal::new(),
+        metrics: gateway::Metrics::new(),
+        outbox,
+        quarantine: sync::Mutex::new(health::Quarantine::new(&configs::HealthConfig::default())),
+        retries: sync::Mutex::new(indexmap::IndexMap::new()),
+        snapshot: arc_swap::ArcSwap::default(),
+    }
+}
+
+fn run_traffic(
+    shared: sync::Arc<gateway::Shared>,
+    closing: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async move {
+        let identity = &shared.identity;
+        let callers = caller_listener::listen(identity.caller_address).await?;
+        let entry_points = caller_listener::listen(identity.entry_point_address).await?;
+        let readiness = caller_listener::listen(identity.readiness_address).await?;
+        let questions = question_handler(&shared);
+        for listener in [entry_points, readiness] {
+            let never = watch::channel(false).1;
+            let serving = caller_listener::serve(
+                sync::Arc::clone(&shared),
+                listener,
+                sync::Arc::clone(&questions),
+                never,
+            );
+            tokio::spawn(serving);
+        }
+        let for_requests = sync::Arc::clone(&shared);
+        let requests: caller_listener::Handler = sync::Arc::new(move |request| {
+            Box::pin(proxy::serve(sync::Arc::clone(&for_requests), request))
+        });
+        caller_listener::serve(sync::Arc::clone(&shared), callers, requests, closing).await;
+        // Connections that are still open end with their requests.
+        std::future::pending::<()>().await;
+        Ok(())
+    })
+}
+
+fn question_handler(shared: &sync::Arc<gateway::Shared>) -> caller_listener::Handler {
+    let shared = sync::Arc::clone(shared);
+    sync::Arc::new(move |request| {
+        let answered = metrics_page::answer_question(&shared, &request);
+        Box::pin(std::future::ready(answered))
+    })
+}
+
+async fn run_control(
+    shared: sync::Arc<gateway::Shared>,
+    ports: gateway::GatewayPorts,
+    context: &context::Context,
+    settings: sync::Arc<dyn SettingsSource>,
+    outgoing: mpsc::Receiver<gateway::FleetMessage>,
+    closing: watch::Sender<bool>,
+) -> io::Result<()> {
+    let mut stops = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupts = unix::signal(unix::SignalKind::interrupt())?;
+    let mut reloads = unix::signal(unix::SignalKind::hangup())?;
+    let identity = &shared.identity;
+    let socket = UdpSocket::bind(identity.peer_address).await?;
+    let peers = TcpListener::bind(identity.peer_address).await?;
+    let membership = membership(identity, context);
+    let (control, events) =
+        control::Control::new(sync::Arc::clone(&shared), ports, socket, membership);
+    let sender = control.events();
+    tokio::spawn(fleet_service::serve(peers, control.state_source()));
+    if let Some(address) = identity.metrics_address {
+        match caller_listener::listen(address).await {
+            Ok(listener) => {
+                let never = watch::channel(false).1;
+                let handler = question_handler(&shared);
+                let serving =
+                    caller_listener::serve(sync::Arc::clone(&shared), listener, handler, never);
+                tokio::spawn(serving);
+            }
+            Err(error) => telemetry::Event::PortFailed.warn(&format!(
+                "name=metrics.unavailable address={address} error=\"{error}\""
+            )),
+        }
+    }
+    tokio::spawn(control.run(events, outgoing));
+    loop {
+        tokio::select! {
+            _ = stops.recv() => break,
+            _ = interrupts.recv() => break,
+            _ = reloads.recv() => reload(&shared, settings.as_ref(), &sender).await,
+        }
+    }
+    shared
+        .is_leaving
+        .store(true, sync::atomic::Ordering::Relaxed);
+    let _ = sender.send(control::ControlEvent::Leave).await;
+    leave::leave(&shared, &closing).await;
+    Ok(())
+}
+
+async fn reload(
+    shared: &gateway::Shared,
+    settings: &dyn SettingsSource,
+    control: &mpsc::Sender<control::ControlEvent>,
+) {
+    match settings.read() {
+        Ok(identity) => {
+            let needs_restart = gateway::Identity {
+                seeds: shared.identity.seeds.clone(),
+                ..identity.clone()
+            } != shared.identity;
+            telemetry::Event::SettingsReloaded.info(&format!(
+                "name=settings.reloaded seeds={} needs_restart={needs_restart}",
+                identity.seeds.len()
+            ));
+            let event = control::ControlEvent::SeedsChanged(identity.seeds);
+            let _ = control.send(event).await;
+        }
+        Err(error) => telemetry::Event::SettingsReloaded
+            .warn(&format!("name=settings.reload-failed error=\"{error}\"")),
+    }
+}
+
+fn membership(identity: &gateway::Identity, context: &context::Context) -> membership::Membership {
+    let own = membership::Member {
+        address: identity.peer_address,
+        availability_zone: identity.availability_zone.clone(),
+        caller_address: identity.caller_address,
+        incarnation: context.clock.unix_ms(),
+        region: identity.region.clone(),
+        state: membership::MemberState::Alive,
+        version: 0,
+        vm_id: identity.vm_name.clone(),
+    };
+    let config = configs::MembershipConfig {
+        suspicion_timeout_ms: SUSPICION_TIMEOUT_MS,
+        ..configs::MembershipConfig::default()
+    };
+    membership::Membership::new(config, own, context.random(RANDOM_STREAM))
+}
--- /dev/null
+++ b/src/gateway/work.rs
@@ -0,0 +1,36 @@
+//! One request on its way.
+
+use std::time;
+
+use crate::ports;
+
+/// One request on its way to a backend server.
+pub struct Work<'a> {
+    /// Hash of its path and body.
+    pub fingerprint: u64,
+    /// Its head, as it goes on.
+    pub head: http::request::Parts,
+    /// When the caller must have its answer.
+    pub limit: tokio::time::Instant,
+    /// Its id, as the caller sent it.
+    pub request_id: &'a str,
+    /// Its route.
+    pub route: &'a ports::Route,
+    /// The service that it goes to.
+    pub service: &'a str,
+}
+
+impl Work<'_> {
+    /// Gives the time that is left.
+    #[must_use]
+    pub fn left(&self) -> time::Duration {
+        self.limit
+            .saturating_duration_since(tokio::time::Instant::now())
+    }
+
+    /// Gives the time that is left, in whole milliseconds.
+    #[must_use]
+    pub fn left_ms(&self) -> u64 {
+        u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/src/http1/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP/1.1 connections that carry one request at a time.
+
+mod client_connection;
+mod connect;
+mod connection_headers;
+mod socket_options;
+
+pub use client_connection::{ClientConnection, ExchangeError, RequestBody};
+pub use connect::{connect, watch_peer};
+pub use connection_headers::remove_connection_headers;
+pub use socket_options::SocketOptions;
--- /dev/null
+++ b/src/ports/mod.rs
@@ -0,0 +1,30 @@
+//! The borders between the gateway and the platform it runs on.
+//!
+//! A platform implements the traits of this module and hands them to
+//! [`crate::gateway::run`]. Nothing here knows how a platform spells anything.
+
+mod backend;
+mod backend_state;
+mod change_feed;
+mod entry_point_dialect;
+mod feed_page;
+mod fleet_configuration;
+mod header_dialect;
+mod request_kind;
+mod request_limits;
+mod route;
+mod store_error;
+mod vm_directory;
+
+pub use backend::Backend;
+pub use backend_state::BackendState;
+pub use change_feed::{BoxFuture, ChangeFeed};
+pub use entry_point_dialect::{EntryPointDialect, EntryPointQuery};
+pub use feed_page::{FeedEntry, FeedPage};
+pub use fleet_configuration::FleetConfiguration;
+pub use header_dialect::HeaderDialect;
+pub use request_kind::RequestKind;
+pub use request_limits::RequestLimits;
+pub use route::{Route, RouteTarget};
+pub use store_error::StoreError;
+pub use vm_directory::VmDirectory;
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -14,6 +14,8 @@
     LeaveTimedOut = 4,
     /// A port cannot be served.
     PortFailed = 5,
+    /// The settings were read again.
+    SettingsReloaded = 6,
     /// A bundle came into force.
     BundleInForce = 10,
     /// A record of the configuration stream was refused.
@@ -52,6 +54,10 @@
     AnswerInvalid = 41,
     /// The metric sink cannot be used.
     MetricSinkFailed = 50,
+    /// A decision that touches a request or changes what this VM believes.
+    Decision = 60,
+    /// Lines were left out because too many were written.
+    LinesLeftOut = 61,
 }
 
 impl Event {
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -4,6 +4,8 @@
 use log4rs::config;
 use log4rs::encode::pattern;
 
+use crate::telemetry;
+
 /// Time, level, then the event's number and message.
 const LINE_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
@@ -22,3 +24,20 @@
     };
     log4rs::init_config(config).is_ok()
 }
+
+/// Starts logging to standard output without ever blocking those who log:
+/// lines that cannot be written in time are dropped. Gives `false` when
+/// logging cannot be started.
+#[must_use]
+pub fn start_bounded_logger(level: log::LevelFilter) -> bool {
+    let encoder = Box::new(pattern::PatternEncoder::new(LINE_PATTERN));
+    let Ok(bounded) = telemetry::BoundedAppender::start(encoder) else {
+        return false;
+    };
+    let appender = config::Appender::builder().build("stdout", Box::new(bounded));
+    let root = config::Root::builder().appender("stdout").build(level);
+    let Ok(config) = config::Config::builder().appender(appender).build(root) else {
+        return false;
+    };
+    log4rs::init_config(config).is_ok()
+}
--- a/src/verdict/retry_reason.rs
+++ b/src/verdict/retry_reason.rs
@@ -8,6 +8,8 @@
     ConnectFailed,
     /// The request is idempotent and its connection broke.
     IdempotentConnectionLost,
+    /// The request is idempotent and the backend server answered a failure.
+    IdempotentServerFailure,
     /// The backend server said that it did not run the request.
     ServerShed,
 }
@@ -19,6 +21,7 @@
         match self {
             Self::ConnectFailed => "connect-failed",
             Self::IdempotentConnectionLost => "idempotent-connection-lost",
+            Self::IdempotentServerFailure => "idempotent-server-failure",
             Self::ServerShed => "server-shed",
         }
     }
