Keep listeners open that nobody can close

Cause: the directory and readiness listeners were given a closing signal whose sender was dropped at once, which read as closing.

--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -59,7 +59,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing) => return,
+            () = closed(&mut closing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -75,6 +75,13 @@
     }
 }
 
+/// Waits until connections are to be closed; for ever if nobody can say so.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        future::pending::<()>().await;
+    }
+}
+
 fn limits(shared: &gateway::Shared) -> ports::RequestLimits {
     let snapshot = shared.snapshot.load();
     let routes = snapshot.routes.as_ref();
@@ -105,15 +112,10 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES) * 2)
         .serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = pin::pin!(connection);
-    let is_closing = async {
-        if closing.wait_for(|closing| *closing).await.is_err() {
-            future::pending::<()>().await;
-        }
-    };
     // How a caller's connection ends is seen from its requests.
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = is_closing => connection.as_mut().graceful_shutdown(),
+        () = closed(&mut closing) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -18,11 +18,7 @@
         .encoder(Box::new(encoder))
         .build();
     let appender = config::Appender::builder().build("stdout", Box::new(console));
-    let root = config::Root::builder().appender("stdout").build(level);
-    let Ok(config) = config::Config::builder().appender(appender).build(root) else {
-        return false;
-    };
-    log4rs::init_config(config).is_ok()
+    start(appender, level)
 }
 
 /// Starts logging to standard output without ever blocking those who log:
@@ -35,9 +31,16 @@
         return false;
     };
     let appender = config::Appender::builder().build("stdout", Box::new(bounded));
+    start(appender, level)
+}
+
+fn start(appender: config::Appender, level: log::LevelFilter) -> bool {
     let root = config::Root::builder().appender("stdout").build(level);
-    let Ok(config) = config::Config::builder().appender(appender).build(root) else {
-        return false;
-    };
-    log4rs::init_config(config).is_ok()
+    // The library logs each call at level `info`.
+    let calls = config::Logger::builder().build("tarpc", log::LevelFilter::Warn);
+    let config = config::Config::builder()
+        .appender(appender)
+        .logger(calls)
+        .build(root);
+    config.is_ok_and(|config| log4rs::init_config(config).is_ok())
 }
