Suspicion as the probability of a server that changes between good and bad

Ruled out: evidence arriving late (other VMs showed the same suspicion within 0.2 s). Suspects beyond that share now count half, good answers travel with the load reports, a request long overdue speaks against its server, a server's own 504 does not, and while more than 8 in 100 fail each server is seen in use.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -60,20 +60,22 @@
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct SuspicionConfig {
-    /// Log odds that a server is bad while nothing speaks for or against it.
-    pub base_log_odds: f64,
-    /// Log odds that a failed request adds.
-    pub failure_log_odds: f64,
-    /// Time constant with which evidence fades, in milliseconds.
-    pub fading_ms: f64,
-    /// Largest log odds, of either sign.
-    pub limit_log_odds: f64,
-    /// Log odds that an answer much slower than the service's mean adds.
-    pub slow_log_odds: f64,
-    /// Multiple of the service's mean run time from which an answer is slow.
+    /// Share of its requests that a bad server fails.
+    pub bad_failure_share: f64,
+    /// Time after which what was seen of a server has faded to a third, in
+    /// milliseconds.
+    pub change_time_ms: f64,
+    /// Share of its requests that a good server fails.
+    pub good_failure_share: f64,
+    /// Least probability that a server is bad, or good, however much was seen.
+    pub least_probability: f64,
+    /// Multiple of the service's mean run time from which an answer is slow,
+    /// and a request without an answer counts as failed.
     pub slow_factor: f64,
-    /// Log odds that a good answer takes away.
-    pub success_log_odds: f64,
+    /// How much likelier a slow answer is of a bad server.
+    pub slow_ratio: f64,
+    /// Probability that a server is bad that nothing is known of.
+    pub unknown_probability: f64,
 }
 
 impl Default for GatewayConfig {
@@ -93,12 +95,12 @@
             news_interval_ms: 300,
             retry_slack_percent: 50,
             store_call_timeout_ms: 800,
-            store_read_interval_ms: 50,
+            store_read_interval_ms: 150,
             store_readers_per_region: 2,
             store_stale_ms: 2_000,
             store_wait_ms: 1_000,
             suspicion: SuspicionConfig::default(),
-            unacknowledged_timeout_ms: 3_000,
+            unacknowledged_timeout_ms: 6_000,
         }
     }
 }
@@ -106,13 +108,13 @@
 impl Default for SuspicionConfig {
     fn default() -> Self {
         Self {
-            base_log_odds: -2.7,   // one server in 15 is bad
-            failure_log_odds: 3.7, // 0.6 of a bad server's requests fail, 0.015 of a good one's
-            fading_ms: 3_000.0,
-            limit_log_odds: 4.0,
-            slow_factor: 4.0,
-            slow_log_odds: 1.2,
-            success_log_odds: 0.9, // 0.4 of a bad server's requests succeed
+            bad_failure_share: 0.7,
+            change_time_ms: 6_000.0, // gray spells last several seconds
+            good_failure_share: 0.015,
+            least_probability: 0.01,
+            slow_factor: 4.0, // one run in a hundred of a good server takes longer
+            slow_ratio: 4.0,
+            unknown_probability: 0.15,
         }
     }
 }
--- a/src/gateway/backend_board.rs
+++ b/src/gateway/backend_board.rs
@@ -22,9 +22,19 @@
 /// Run time assumed before the first answer, in milliseconds.
 const FIRST_RUN_TIME_MS: f64 = 300.0;
 /// Probability from which on a server is a suspect.
-const SUSPECT_PROBABILITY: f64 = 0.3;
+const SUSPECT_PROBABILITY: f64 = 0.5;
 /// Part of the suspicion that counts for suspects that must not be avoided.
-const SPARED_SUSPICION: f64 = 0.1;
+const SPARED_SUSPICION: f64 = 0.5;
+/// Share of failed requests from which on a service's minimum share of servers
+/// must be seen in use.
+const TROUBLED_FAILURE_SHARE: f64 = 0.08;
+/// Time constant of a service's share of failed requests, in milliseconds.
+const FAILURE_SHARE_TIME_MS: f64 = 2_000.0;
+/// Longest time without work of a server that must be seen in use, in
+/// milliseconds.
+const MAX_UNUSED_MS: u64 = 1_500;
+/// Good answers that one report may add for a server.
+const MAX_REPORTED_SUCCESSES: u32 = 4;
 /// What a certainly failing server costs, as load: more than another zone and
 /// another region, less than a server that cannot be reached.
 const SUSPICION_COST: f64 = 2.5;
@@ -47,6 +57,7 @@
     own: indexmap::IndexMap<String, Vec<u64>>,
     reports: indexmap::IndexMap<net::SocketAddr, PeerLoad>,
     run_time_ms: indexmap::IndexMap<String, f64>,
+    services: indexmap::IndexMap<String, ServiceTrouble>,
 }
 
 /// What is known of one lifetime of a server.
@@ -54,12 +65,21 @@
 struct Track {
     backend: sync::Arc<ports::Backend>,
     in_flight: u32,
+    last_used_ms: u64,
+    new_successes: u32,
     registered_ms: u64,
     shed_ms: Option<u64>,
     suspicion: gateway::Suspicion,
     unreachable_until_ms: u64,
 }
 
+/// How many of a service's requests have failed of late.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceTrouble {
+    failure_share: f64,
+    updated_ms: u64,
+}
+
 #[derive(Debug)]
 struct PeerLoad {
     at_ms: u64,
@@ -107,6 +127,8 @@
 pub struct LoadReport {
     /// Requests that it has in flight, by lifetime.
     pub in_flight: Vec<(u64, u32)>,
+    /// Good answers since the last report, by lifetime.
+    pub successes: Vec<(u64, u32)>,
 }
 
 impl BackendBoard {
@@ -121,6 +143,7 @@
             own: indexmap::IndexMap::new(),
             reports: indexmap::IndexMap::new(),
             run_time_ms: indexmap::IndexMap::new(),
+            services: indexmap::IndexMap::new(),
         }
     }
 
@@ -140,6 +163,8 @@
                 || Track {
                     backend: sync::Arc::clone(backend),
                     in_flight: 0,
+                    last_used_ms: now_ms,
+                    new_successes: 0,
                     registered_ms: now_ms,
                     shed_ms: None,
                     suspicion: gateway::Suspicion::new(&self.config),
@@ -177,12 +202,17 @@
             })
             .collect();
         let avoided = self.avoided(&candidates);
+        let is_troubled = self.is_troubled(request.service);
         let best = candidates
             .iter()
             .filter_map(|&(lifetime, suspicion)| {
                 let is_avoided = avoided.contains(&lifetime);
                 let counted = if is_avoided {
                     suspicion
+                } else if suspicion < SUSPECT_PROBABILITY {
+                    suspicion
+                } else if is_troubled && self.is_unused(now_ms, lifetime) {
+                    0.0
                 } else {
                     suspicion * SPARED_SUSPICION
                 };
@@ -194,6 +224,7 @@
         let in_flight = self.in_flight(now_ms, lifetime);
         let track = self.lifetimes.get_mut(&lifetime)?;
         track.in_flight += 1;
+        track.last_used_ms = now_ms;
         Some(Choice {
             backend: sync::Arc::clone(&track.backend),
             candidate_count: candidates.len(),
@@ -211,8 +242,8 @@
         }
     }
 
-    /// Notes what a request says of its server. Gives whether other VMs
-    /// should learn of it: failures, and good answers of a suspect.
+    /// Notes what a request of this VM says of its server. Gives whether other
+    /// VMs should learn of it at once; good answers go with the next report.
     pub fn note_evidence(
         &mut self,
         now_ms: u64,
@@ -223,8 +254,14 @@
             return false;
         };
         let before = track.suspicion.probability(&self.config, now_ms);
-        track.suspicion.note(&self.config, now_ms, evidence);
-        evidence != gateway::Evidence::Success || before >= SUSPECT_PROBABILITY
+        track.suspicion.note(&self.config, now_ms, evidence, 1);
+        let is_good = evidence == gateway::Evidence::Success;
+        if is_good {
+            track.new_successes += 1;
+        }
+        let service = track.backend.service.clone();
+        self.note_trouble(now_ms, &service, !is_good);
+        !is_good
     }
 
     /// Notes how long an answered request ran, and gives what that says of
@@ -267,6 +304,15 @@
 
     /// Takes in another VM's report.
     pub fn note_report(&mut self, now_ms: u64, from: net::SocketAddr, report: LoadReport) {
+        for (lifetime, count) in &report.successes {
+            let success = gateway::Evidence::Success;
+            self.note_peer_evidence(
+                now_ms,
+                *lifetime,
+                success,
+                (*count).min(MAX_REPORTED_SUCCESSES),
+            );
+        }
         let load = PeerLoad {
             at_ms: now_ms,
             in_flight: report.in_flight.into_iter().collect(),
@@ -276,9 +322,30 @@
             .retain(|_, load| load.at_ms + REPORT_MAX_AGE_MS > now_ms);
     }
 
-    /// Gives this VM's report.
+    /// Notes what another VM's requests say of their server.
+    pub fn note_peer_evidence(
+        &mut self,
+        now_ms: u64,
+        lifetime: u64,
+        evidence: gateway::Evidence,
+        count: u32,
+    ) {
+        if let Some(track) = self.lifetimes.get_mut(&lifetime) {
+            track.suspicion.note(&self.config, now_ms, evidence, count);
+            track.last_used_ms = now_ms;
+        }
+    }
+
+    /// Gives this VM's report, and begins the next one.
     #[must_use]
-    pub fn report(&self) -> LoadReport {
+    pub fn take_report(&mut self) -> LoadReport {
+        let proven = self
+            .lifetimes
+            .iter_mut()
+            .filter(|(_, track)| track.new_successes > 0);
+        let successes = proven
+            .map(|(lifetime, track)| (*lifetime, std::mem::take(&mut track.new_successes)))
+            .collect();
         let busy = self
             .lifetimes
             .iter()
@@ -287,7 +354,34 @@
             in_flight: busy
                 .map(|(lifetime, track)| (*lifetime, track.in_flight))
                 .collect(),
+            successes,
+        }
+    }
+
+    /// Tells whether so many of a service's requests fail that its minimum
+    /// share of servers must be seen in use.
+    fn is_troubled(&self, service: &str) -> bool {
+        let trouble = self.services.get(service);
+        trouble.is_some_and(|trouble| trouble.failure_share > TROUBLED_FAILURE_SHARE)
+    }
+
+    fn is_unused(&self, now_ms: u64, lifetime: u64) -> bool {
+        let track = self.lifetimes.get(&lifetime);
+        track.is_some_and(|track| track.last_used_ms + MAX_UNUSED_MS < now_ms)
+    }
+
+    fn note_trouble(&mut self, now_ms: u64, service: &str, is_failure: bool) {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.to_owned(), ServiceTrouble::default());
         }
+        let trouble = &mut self.services[service];
+        #[expect(clippy::cast_precision_loss, reason = "ages are far below 2^52 ms")]
+        let age_ms = now_ms.saturating_sub(trouble.updated_ms) as f64;
+        let gain = 1.0 - (-(age_ms + 50.0) / FAILURE_SHARE_TIME_MS).exp();
+        let sample = if is_failure { 1.0 } else { 0.0 };
+        trouble.failure_share += (sample - trouble.failure_share) * gain;
+        trouble.updated_ms = now_ms;
     }
 
     /// Gives the most suspect servers, so many that the others are the
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -27,6 +27,9 @@
 const TICK: time::Duration = time::Duration::from_millis(75);
 /// Events that may wait for the control thread.
 const QUEUE_EVENTS: usize = 1_024;
+/// Longest time by which VMs that are no readers wait for the readers' news
+/// before they read the store, in milliseconds.
+const MAX_JITTER_MS: u64 = 400;
 /// Time for which a VM that cannot read the store is passed over as a reader,
 /// in milliseconds: it tells again with each failed read.
 const FAILING_MEMORY_MS: u64 = 3_000;
@@ -118,7 +121,7 @@
     ) -> (Self, mpsc::Receiver<ControlEvent>) {
         let (events, receiver) = mpsc::channel(QUEUE_EVENTS);
         let config = &shared.config;
-        let jitter_ms = rand::rng().random_range(0..500);
+        let jitter_ms = rand::rng().random_range(0..MAX_JITTER_MS);
         let interval_ms = config.store_read_interval_ms;
         let stale_ms = config.store_stale_ms;
         let control = Self {
@@ -500,7 +503,7 @@
             gateway::FleetMessage::Evidence { evidence, lifetime } => {
                 self.shared
                     .board()
-                    .note_evidence(now_ms, lifetime, evidence);
+                    .note_peer_evidence(now_ms, lifetime, evidence, 1);
             }
             gateway::FleetMessage::Load(report) => {
                 self.shared.board().note_report(now_ms, from, report);
@@ -817,8 +820,9 @@
     }
 
     fn send_report(&mut self) {
-        let report = self.shared.board().report();
-        if report == self.last_report && report.in_flight.is_empty() {
+        let report = self.shared.board().take_report();
+        let is_empty = report.in_flight.is_empty() && report.successes.is_empty();
+        if is_empty && report == self.last_report {
             return;
         }
         self.tell_region(&gateway::FleetMessage::Load(report.clone()));
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -24,6 +24,8 @@
 const NO_SERVER_RETRY_MS: u64 = 700;
 /// Shortest time to come back after servers refused, in milliseconds.
 const SHED_RETRY_MIN_MS: u64 = 150;
+/// Milliseconds in a second.
+const MILLISECONDS_PER_S: f64 = 1_000.0;
 /// What another zone costs, as load of a server: a request of a few kilobytes.
 const ZONE_COST: f64 = 0.3;
 /// What another region costs, as load of a server: a request of a few
@@ -134,7 +136,7 @@
             return tried.give_up(shared, work, reason, wait_ms);
         }
         let began = time::Instant::now();
-        let outcome = attempt::run(shared, work, &choice, body.take()).await;
+        let outcome = watched(shared, work, &choice, body.take()).await;
         let ran_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
         drop(use_of_server);
         let failure = match outcome {
@@ -210,6 +212,37 @@
     shared.board().choose(shared.now_ms(), &request)
 }
 
+/// Runs an attempt. A request without an answer long after its usual time says
+/// something of its server before its own limit has come.
+async fn watched(
+    shared: &sync::Arc<gateway::Shared>,
+    work: &work::Work<'_>,
+    choice: &gateway::Choice,
+    body: http1::RequestBody,
+) -> attempt::AttemptOutcome {
+    let mut attempt = std::pin::pin!(attempt::run(shared, work, choice, body));
+    let usual_ms = shared.board().mean_run_ms(work.service);
+    let overdue = time::Duration::from_secs_f64(
+        usual_ms * shared.config.suspicion.slow_factor / MILLISECONDS_PER_S,
+    );
+    if let Ok(outcome) = tokio::time::timeout(overdue, attempt.as_mut()).await {
+        return outcome;
+    }
+    shared.note_evidence(choice.lifetime, gateway::Evidence::Failure);
+    shared.metrics.counters.add("attempt.overdue");
+    shared.journal.decision("attempt.overdue", || {
+        format!(
+            "id={} service={} server={} after_ms={} usual_ms={usual_ms:.0} left_ms={}",
+            work.request_id,
+            work.service,
+            choice.backend.id,
+            overdue.as_millis(),
+            work.left_ms()
+        )
+    });
+    attempt.await
+}
+
 /// Gives when to come back if even the best server cannot end the request in
 /// time, as far as its load is known.
 fn hopeless_wait_ms(
@@ -469,12 +502,13 @@
     let status = answered.status();
     #[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 ms")]
     let run_ms = ran_ms as f64;
-    let evidence = if status.is_server_error() {
-        gateway::Evidence::Failure
-    } else {
-        shared.board().note_run_time(work.service, run_ms)
-    };
-    shared.note_evidence(choice.lifetime, evidence);
+    // A server's own 504 says that the request was long, not that it is bad.
+    if status.is_server_error() && status != http::StatusCode::GATEWAY_TIMEOUT {
+        shared.note_evidence(choice.lifetime, gateway::Evidence::Failure);
+    } else if !status.is_server_error() {
+        let evidence = shared.board().note_run_time(work.service, run_ms);
+        shared.note_evidence(choice.lifetime, evidence);
+    }
     shared.metrics.record_ms("server.answer", ran_ms);
     let name = if status.is_server_error() {
         "request.server-failure"
@@ -506,7 +540,8 @@
     failure: attempt::AttemptFailure,
     ran_ms: u64,
 ) {
-    if failure.end == gateway::AttemptEnd::Unanswered {
+    let is_overdue = failure.reason == verdict::RefusalReason::DeadlineExceeded;
+    if failure.end == gateway::AttemptEnd::Unanswered && !is_overdue {
         shared.note_evidence(choice.lifetime, gateway::Evidence::Failure);
     }
     if failure.is_death {
--- a/src/gateway/read_schedule.rs
+++ b/src/gateway/read_schedule.rs
@@ -19,7 +19,8 @@
 }
 
 impl ReadSchedule {
-    /// Gives a schedule whose first read is due at once. A reader pauses
+    /// Gives a schedule whose first read is due after `jitter_ms`: most VMs
+    /// then know from their peers what there is to read. A reader pauses
     /// `interval_ms` between reads; other VMs read when their knowledge is
     /// older than `stale_ms` and their own `jitter_ms`.
     #[must_use]
@@ -29,7 +30,7 @@
             interval_ms,
             is_reading: false,
             jitter_ms,
-            next_ms: 0,
+            next_ms: jitter_ms,
             stale_ms,
         }
     }
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -5,11 +5,14 @@
 /// How likely it is that one backend server is failing now.
 ///
 /// Load pattern: at any time some servers fail most of their requests for
-/// several seconds while their health checks pass. Each outcome moves the log
-/// odds; what was seen fades, so that a server that got no work is tried again.
+/// several seconds while their health checks pass. A server is taken to be
+/// good or bad, and to change between them now and then: each outcome moves
+/// the odds by how much likelier it is of a bad server, and with time the
+/// probability returns to what it is of a server that nothing is known of. So
+/// one that got no work is tried again.
 #[derive(Clone, Copy, Debug)]
 pub struct Suspicion {
-    log_odds: f64,
+    probability: f64,
     updated_ms: u64,
 }
 
@@ -29,34 +32,39 @@
     #[must_use]
     pub const fn new(config: &gateway::SuspicionConfig) -> Self {
         Self {
-            log_odds: config.base_log_odds,
+            probability: config.unknown_probability,
             updated_ms: 0,
         }
     }
 
-    /// Takes in what one request says.
-    pub fn note(&mut self, config: &gateway::SuspicionConfig, now_ms: u64, evidence: Evidence) {
-        let change = match evidence {
-            Evidence::Failure => config.failure_log_odds,
-            Evidence::Slow => config.slow_log_odds,
-            Evidence::Success => -config.success_log_odds,
+    /// Takes in what `count` requests say.
+    pub fn note(
+        &mut self,
+        config: &gateway::SuspicionConfig,
+        now_ms: u64,
+        evidence: Evidence,
+        count: u32,
+    ) {
+        let bad = config.bad_failure_share;
+        let good = config.good_failure_share;
+        let ratio = match evidence {
+            Evidence::Failure => bad / good,
+            Evidence::Slow => config.slow_ratio,
+            Evidence::Success => (1.0 - bad) / (1.0 - good),
         };
-        let limit = config.limit_log_odds;
-        self.log_odds = (self.faded(config, now_ms) + change).clamp(-limit, limit);
+        let probability = self.probability(config, now_ms);
+        let odds = probability / (1.0 - probability) * ratio.powf(f64::from(count));
+        let least = config.least_probability;
+        self.probability = (odds / (1.0 + odds)).clamp(least, 1.0 - least);
         self.updated_ms = now_ms;
     }
 
     /// Gives the probability that the server is failing.
     #[must_use]
     pub fn probability(&self, config: &gateway::SuspicionConfig, now_ms: u64) -> f64 {
-        let odds = self.faded(config, now_ms).exp();
-        odds / (1.0 + odds)
-    }
-
-    fn faded(&self, config: &gateway::SuspicionConfig, now_ms: u64) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "ages are far below 2^52 ms")]
         let age_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        let kept = (-age_ms / config.fading_ms).exp();
-        config.base_log_odds + (self.log_odds - config.base_log_odds) * kept
+        let kept = (-age_ms / config.change_time_ms).exp();
+        config.unknown_probability + (self.probability - config.unknown_probability) * kept
     }
 }
--- a/src/http1/connect.rs
+++ b/src/http1/connect.rs
@@ -8,7 +8,7 @@
 use crate::http1;
 
 /// Keep-alive probes without an answer before the connection is given up.
-const KEEPALIVE_PROBES: u32 = 2;
+const KEEPALIVE_PROBES: u32 = 4;
 
 /// Opens a connection.
 ///
