--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -29,7 +29,7 @@
 const QUEUE_EVENTS: usize = 1_024;
 /// Longest time by which VMs that are no readers wait for the readers' news
 /// before they read the store, in milliseconds.
-const MAX_JITTER_MS: u64 = 400;
+const MAX_JITTER_MS: u64 = 120;
 /// Time for which a VM that cannot read the store is passed over as a reader,
 /// in milliseconds: it tells again with each failed read.
 const FAILING_MEMORY_MS: u64 = 3_000;
@@ -418,6 +418,7 @@
                     }
                 };
                 self.note_backend_changes(&changes, "store");
+                self.publish_if_registry_is_new();
             }
             Err(ports::StoreError::HistoryGone { first_offset }) => {
                 self.needs_newest_backends = true;
@@ -488,7 +489,7 @@
         }
         let routes = configuration.routes.len();
         let index = gateway::RouteIndex::build(sync::Arc::new(configuration));
-        self.knowledge().routes = Some(sync::Arc::new(index));
+        self.knowledge().set_routes(sync::Arc::new(index));
         telemetry::Event::BundleInForce.info(&format!(
             "name=configuration.in-force {source} version={version} before={in_force} \
              routes={routes}"
@@ -582,7 +583,12 @@
             self.needs_newest_backends = false;
         }
         self.note_backend_changes(&changes, &format!("peer={from}"));
-        if let Some(configuration) = state.configuration {
+        self.publish_if_registry_is_new();
+        let changed = state.configuration_change.and_then(|change| {
+            let knowledge = self.knowledge();
+            change.apply(&knowledge.routes()?.configuration)
+        });
+        if let Some(configuration) = state.configuration.or(changed) {
             self.put_in_force(configuration, &format!("peer={from}"));
         }
     }
@@ -637,12 +643,24 @@
         self.send_urgent_news();
     }
 
+    /// Publishes that the registry is known, the first time.
+    fn publish_if_registry_is_new(&self) {
+        if !self.shared.snapshot.load().is_registry_known {
+            self.publish();
+        }
+    }
+
     fn publish(&self) {
         let vms = self.entry_vms();
         let retry_slack_milli = self.retry_slack_milli(&vms);
+        let (is_registry_known, routes) = {
+            let knowledge = self.knowledge();
+            (knowledge::is_known(&knowledge), knowledge.routes().cloned())
+        };
         let snapshot = gateway::Snapshot {
+            is_registry_known,
             retry_slack_milli,
-            routes: self.knowledge().routes.clone(),
+            routes,
             vms,
         };
         self.shared.snapshot.store(sync::Arc::new(snapshot));
--- a/src/gateway/fleet_service.rs
+++ b/src/gateway/fleet_service.rs
@@ -20,8 +20,11 @@
 /// What a VM gives to one that knows less.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct PulledState {
-    /// The configuration in force, if the asker's is older.
+    /// The configuration in force, if the asker's is older and what changed
+    /// since is not known.
     pub configuration: Option<ports::FleetConfiguration>,
+    /// What changed since the asker's configuration.
+    pub configuration_change: Option<ports::ConfigurationChange>,
     /// How new all of it is.
     pub news: gateway::News,
     /// Whether the rows are the whole registry.
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -1,14 +1,19 @@
 //! What this VM knows of the store, and how new that is.
 
+use std::collections;
 use std::sync;
 
 use crate::context;
 use crate::gateway;
 use crate::gateway::fleet_service;
+use crate::ports;
 
 /// Time that a message is taken to be under way when ages are passed on, in
 /// milliseconds: a trip between regions and a wait in a queue.
 const TRANSIT_MS: u64 = 50;
+/// Earlier configurations that are kept to work out what changed: a VM is
+/// seldom further behind.
+const EARLIER_CONFIGURATIONS: usize = 16;
 
 /// What this VM knows of the store, and how new that is.
 pub struct Knowledge {
@@ -20,8 +25,9 @@
     pub configuration_next_offset: Option<u64>,
     /// Whether reads of the store fail.
     pub store_fails: bool,
+    earlier: collections::VecDeque<sync::Arc<ports::FleetConfiguration>>,
     /// The routes in force.
-    pub routes: Option<sync::Arc<gateway::RouteIndex>>,
+    routes: Option<sync::Arc<gateway::RouteIndex>>,
     clock: sync::Arc<dyn context::Clock>,
 }
 
@@ -34,6 +40,7 @@
             clock,
             configuration_confirmed_ms: None,
             configuration_next_offset: None,
+            earlier: collections::VecDeque::new(),
             routes: None,
             store_fails: false,
         }
@@ -46,6 +53,32 @@
         routes.map_or(0, |routes| routes.configuration.version)
     }
 
+    /// Gives the routes in force.
+    #[must_use]
+    pub const fn routes(&self) -> Option<&sync::Arc<gateway::RouteIndex>> {
+        self.routes.as_ref()
+    }
+
+    /// Puts routes in force.
+    pub fn set_routes(&mut self, routes: sync::Arc<gateway::RouteIndex>) {
+        if let Some(before) = self.routes.replace(routes) {
+            self.earlier
+                .push_front(sync::Arc::clone(&before.configuration));
+            self.earlier.truncate(EARLIER_CONFIGURATIONS);
+        }
+    }
+
+    /// Gives what leads from an earlier version to the one in force, if the
+    /// earlier one is still known.
+    fn change_since(&self, version: u64) -> Option<ports::ConfigurationChange> {
+        let next = &self.routes.as_ref()?.configuration;
+        let base = self
+            .earlier
+            .iter()
+            .find(|earlier| earlier.version == version)?;
+        Some(ports::ConfigurationChange::between(base, next))
+    }
+
     /// Takes over how new another VM's knowledge is where both know the same.
     pub fn confirm_from(&mut self, now_ms: u64, news: &gateway::News) {
         let confirmed = |age_ms: u64| now_ms.saturating_sub(age_ms + TRANSIT_MS);
@@ -94,11 +127,15 @@
         let knowledge = self.0.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let routes = knowledge.routes.as_ref();
         let newer = routes.filter(|routes| routes.configuration.version > configuration_version);
+        let change = newer.and_then(|_| knowledge.change_since(configuration_version));
         let is_whole = knowledge.backends.needs_whole(registry_mark);
         let since = if is_whole { 0 } else { registry_mark };
         let rows = knowledge.backends.rows_since(since);
         Some(fleet_service::PulledState {
-            configuration: newer.map(|routes| routes.configuration.as_ref().clone()),
+            configuration: newer
+                .filter(|_| change.is_none())
+                .map(|routes| routes.configuration.as_ref().clone()),
+            configuration_change: change,
             is_whole,
             news: knowledge.news(knowledge.clock.now_ms()),
             registry_next_offset: knowledge.backends.resume_offset(),
--- a/src/gateway/leave.rs
+++ b/src/gateway/leave.rs
@@ -14,11 +14,11 @@
 const ACCEPTING_PERCENT: u64 = 46;
 /// Time before the end by force at which this VM ends by itself, in
 /// milliseconds.
-const END_MARGIN_MS: u64 = 250;
+const END_MARGIN_MS: u64 = 500;
 /// Time between two looks at what is in flight.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(25);
-/// Time for the last answers to leave the socket buffers.
-const FLUSH_TIME: time::Duration = time::Duration::from_millis(50);
+/// Time for the last answers and log lines to be written.
+const FLUSH_TIME: time::Duration = time::Duration::from_millis(120);
 
 /// Goes on serving for a while, then closes idle connections, then ends when
 /// nothing is in flight any more, at the latest before the end by force.
@@ -37,7 +37,6 @@
     while in_flight() > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
-    tokio::time::sleep(FLUSH_TIME).await;
     let took_ms = began.elapsed().as_millis();
     let left = in_flight();
     if left == 0 {
@@ -47,4 +46,5 @@
             "name=leave.timed-out in_flight={left} took_ms={took_ms}"
         ));
     }
+    tokio::time::sleep(FLUSH_TIME).await;
 }
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -19,6 +19,10 @@
 /// When to come back while this VM has no configuration, in milliseconds: one
 /// read of the store takes less.
 const NO_CONFIGURATION_RETRY_MS: u64 = 300;
+/// Longest time that a request waits for the first configuration and registry.
+const START_WAIT: time::Duration = time::Duration::from_millis(400);
+/// Time between two looks for them.
+const START_LOOK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// When to come back to a service without servers, in milliseconds: servers
 /// register within two heartbeats.
 const NO_SERVER_RETRY_MS: u64 = 700;
@@ -79,7 +83,7 @@
     if request_id.is_empty() {
         return Err(not_run(verdict::RefusalReason::RequestInvalid, 0));
     }
-    let snapshot = shared.snapshot.load_full();
+    let snapshot = complete_snapshot(shared).await;
     let Some(routes) = &snapshot.routes else {
         let reason = verdict::RefusalReason::NoConfiguration;
         return Err(not_run(reason, jittered(shared, NO_CONFIGURATION_RETRY_MS)));
@@ -113,6 +117,19 @@
     run(shared, &work, body, routes.configuration.version).await
 }
 
+/// Gives what the control thread has published. Right after the start that is
+/// waited for a little: it comes sooner than the caller could come back.
+async fn complete_snapshot(shared: &gateway::Shared) -> sync::Arc<gateway::Snapshot> {
+    let end = tokio::time::Instant::now() + START_WAIT;
+    loop {
+        let snapshot = shared.snapshot.load_full();
+        if snapshot.is_complete() || tokio::time::Instant::now() >= end {
+            return snapshot;
+        }
+        tokio::time::sleep(START_LOOK_INTERVAL).await;
+    }
+}
+
 /// Tries servers until one answers or no further one may be tried.
 async fn run(
     shared: &sync::Arc<gateway::Shared>,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -73,7 +73,7 @@
     /// Tells whether this VM takes requests.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.snapshot.load().routes.is_some()
+        !self.is_leaving() && self.snapshot.load().is_complete()
     }
 
     /// Notes what a request says of its server, here and on the region's VMs.
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod backend_state;
 mod change_feed;
+mod configuration_change;
 mod entry_point_dialect;
 mod feed_page;
 mod fleet_configuration;
@@ -19,6 +20,7 @@
 pub use backend::Backend;
 pub use backend_state::BackendState;
 pub use change_feed::{BoxFuture, ChangeFeed};
+pub use configuration_change::ConfigurationChange;
 pub use entry_point_dialect::{EntryPointDialect, EntryPointQuery};
 pub use feed_page::{FeedEntry, FeedPage};
 pub use fleet_configuration::FleetConfiguration;
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -110,3 +110,32 @@
     let to_new = (0..route.total_weight()).filter(|draw| route.target(*draw) == "new");
     assert_eq!(to_new.count(), 10);
 }
+
+#[test]
+fn change_leads_from_one_configuration_to_the_next() {
+    let base = fixtures::configuration(
+        3,
+        vec![
+            fixtures::route("shop.example", "/a/", "a"),
+            fixtures::route("shop.example", "/b/", "b"),
+            fixtures::route("shop.example", "/c/", "c"),
+        ],
+    );
+    let next = fixtures::configuration(
+        7,
+        vec![
+            fixtures::route("shop.example", "/a/", "a"),
+            ports::Route {
+                timeout_ms: 900,
+                ..fixtures::route("shop.example", "/b/", "b")
+            },
+            fixtures::route("shop.example", "/d/", "d"),
+        ],
+    );
+    let change = ports::ConfigurationChange::between(&base, &next);
+    assert_eq!((change.routes.len(), change.removed.len()), (2, 1));
+    let mut applied = change.apply(&base).expect("the base fits");
+    applied.routes.sort_by(|a, b| a.name.cmp(&b.name));
+    assert_eq!(applied, next);
+    assert!(change.apply(&next).is_none(), "another base is refused");
+}
