--- a/src/gateway/backend_board.rs
+++ b/src/gateway/backend_board.rs
@@ -253,7 +253,6 @@
         let Some(track) = self.lifetimes.get_mut(&lifetime) else {
             return false;
         };
-        let before = track.suspicion.probability(&self.config, now_ms);
         track.suspicion.note(&self.config, now_ms, evidence, 1);
         let is_good = evidence == gateway::Evidence::Success;
         if is_good {
