--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -340,7 +340,8 @@
     fn note_read(&mut self, feed: &str, is_changed: bool, error: Option<&ports::StoreError>) {
         let is_gone = matches!(error, Some(ports::StoreError::HistoryGone { .. }));
         let fails = error.is_some() && !is_gone;
-        self.knowledge().store_fails = fails;
+        let now_ms = self.now_ms();
+        self.knowledge().store_failed_ms = fails.then_some(now_ms);
         if fails {
             self.shared.metrics.counters.add("store.read-failed");
             self.tell_next_readers();
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -14,6 +14,9 @@
 /// Earlier configurations that are kept to work out what changed: a VM is
 /// seldom further behind.
 const EARLIER_CONFIGURATIONS: usize = 16;
+/// Time for which a failed read counts, in milliseconds: a VM that is not asked
+/// to read may not try again for long.
+const FAILURE_MEMORY_MS: u64 = 3_000;
 
 /// What this VM knows of the store, and how new that is.
 pub struct Knowledge {
@@ -23,8 +26,8 @@
     pub configuration_confirmed_ms: Option<u64>,
     /// Where reading configurations goes on.
     pub configuration_next_offset: Option<u64>,
-    /// Whether reads of the store fail.
-    pub store_fails: bool,
+    /// When a read of the store failed that none has followed yet.
+    pub store_failed_ms: Option<u64>,
     earlier: collections::VecDeque<sync::Arc<ports::FleetConfiguration>>,
     /// The routes in force.
     routes: Option<sync::Arc<gateway::RouteIndex>>,
@@ -42,7 +45,7 @@
             configuration_next_offset: None,
             earlier: collections::VecDeque::new(),
             routes: None,
-            store_fails: false,
+            store_failed_ms: None,
         }
     }
 
@@ -104,7 +107,9 @@
             configuration_version: self.configuration_version(),
             registry_age_ms: self.backends.confirmed_ms().map(age),
             registry_mark: self.backends.change_mark(),
-            store_fails: self.store_fails,
+            store_fails: self
+                .store_failed_ms
+                .is_some_and(|failed_ms| now_ms.saturating_sub(failed_ms) < FAILURE_MEMORY_MS),
         }
     }
 }
