--- /dev/null
+++ b/src/daemon/control_thread/mod.rs
@@ -0,0 +1,16 @@
+//! The control thread: configuration, membership, health, and what it publishes.
+
+pub(super) mod configuration_control;
+pub(super) mod control;
+pub(super) mod control_event;
+pub(super) mod ejection_lease;
+pub(super) mod health_control;
+pub(super) mod health_messages;
+pub(super) mod membership_control;
+pub(super) mod operator_service;
+pub(super) mod quarantine_view;
+pub(super) mod rehearsals;
+pub(super) mod server_probe;
+pub(super) mod service_health;
+pub(super) mod snapshot;
+pub(super) mod vm_status;
--- a/src/daemon/operator_service.rs
+++ b/src/daemon/control_thread/operator_service.rs
@@ -10,7 +10,7 @@
 use volo_http::response;
 
 use crate::daemon;
-use crate::daemon::reply;
+use crate::daemon::traffic_threads::reply;
 use crate::telemetry;
 
 /// The service behind the operator port.
--- a/src/daemon/server_probe.rs
+++ b/src/daemon/control_thread/server_probe.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::daemon;
-use crate::daemon::header_names;
+use crate::daemon::traffic_threads::header_names;
 
 /// Longest wait for a server that is probed. A probe takes about 25 ms.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
--- a/src/daemon/claim_home.rs
+++ b/src/daemon/keyed_requests/claim_home.rs
@@ -9,7 +9,7 @@
 use crate::claims;
 use crate::configs;
 use crate::context;
-use crate::daemon::come_back;
+use crate::daemon::traffic_threads::come_back;
 use crate::peer;
 use crate::state_machine::StateMachine as _;
 use crate::telemetry;
--- a/src/daemon/keyed_home.rs
+++ b/src/daemon/keyed_requests/keyed_home.rs
@@ -8,10 +8,10 @@
 use crate::bundle;
 use crate::claims;
 use crate::daemon;
-use crate::daemon::come_back;
-use crate::daemon::header_names;
-use crate::daemon::reply;
-use crate::daemon::stored;
+use crate::daemon::traffic_threads::come_back;
+use crate::daemon::traffic_threads::header_names;
+use crate::daemon::traffic_threads::reply;
+use crate::daemon::traffic_threads::stored;
 use crate::verdict;
 
 /// Reason header of a home that cannot tell about a key. Entry VMs only.
--- a/src/daemon/start.rs
+++ b/src/daemon/start_and_leave/start.rs
@@ -247,7 +247,7 @@
             "{} serves callers on {}",
             settings.vm_id, settings.caller_address
         ));
-        daemon::leave::wait_for_leave(&settings, &events, &assembly.traffic).await;
+        daemon::start_and_leave::leave::wait_for_leave(&settings, &events, &assembly.traffic).await;
         let _ = left.send(true);
     });
 }
--- a/src/daemon/attempts.rs
+++ b/src/daemon/traffic_threads/attempts.rs
@@ -1,7 +1,7 @@
 //! What earlier attempts of a request have left.
 
 use crate::daemon;
-use crate::daemon::come_back;
+use crate::daemon::traffic_threads::come_back;
 use crate::verdict;
 
 /// When to come back after a failure that says nothing about load, in
--- a/src/daemon/failure.rs
+++ b/src/daemon/traffic_threads/failure.rs
@@ -3,7 +3,7 @@
 use volo_http::response;
 
 use crate::daemon;
-use crate::daemon::server_client;
+use crate::daemon::traffic_threads::server_client;
 use crate::health;
 use crate::verdict;
 
--- /dev/null
+++ b/src/daemon/traffic_threads/mod.rs
@@ -0,0 +1,33 @@
+//! The traffic threads: the way of a request from its head to its answer.
+
+pub(super) mod answer_body;
+pub(super) mod attempts;
+pub(super) mod come_back;
+pub(super) mod death_check;
+pub(super) mod discarding_body;
+pub(super) mod entry_point_answer;
+pub(super) mod failure;
+pub(super) mod header_names;
+pub(super) mod in_flight;
+pub(super) mod organisation_gate;
+pub(super) mod outcome_report;
+pub(super) mod parts;
+pub(super) mod payload;
+pub(super) mod permit;
+pub(super) mod placement;
+pub(super) mod reply;
+pub(super) mod reporter;
+pub(super) mod request_body;
+pub(super) mod request_head;
+pub(super) mod request_ids;
+pub(super) mod runner;
+pub(super) mod server_client;
+pub(super) mod server_report;
+pub(super) mod server_runtime;
+pub(super) mod server_use;
+pub(super) mod service_runtime;
+pub(super) mod slot_client;
+pub(super) mod stored;
+pub(super) mod traffic;
+pub(super) mod vm_gate;
+pub(super) mod work;
--- a/src/daemon/reply.rs
+++ b/src/daemon/traffic_threads/reply.rs
@@ -3,7 +3,7 @@
 use volo_http::body;
 use volo_http::response;
 
-use crate::daemon::header_names;
+use crate::daemon::traffic_threads::header_names;
 use crate::verdict;
 
 /// Gives the answer to a request that was refused.
--- a/src/daemon/request_head.rs
+++ b/src/daemon/traffic_threads/request_head.rs
@@ -1,6 +1,6 @@
 //! What the daemon reads from a request's head.
 
-use crate::daemon::header_names;
+use crate::daemon::traffic_threads::header_names;
 use crate::verdict;
 
 /// Longest request id, organisation id or idempotency key, in bytes.
--- a/src/daemon/server_client.rs
+++ b/src/daemon/traffic_threads/server_client.rs
@@ -9,8 +9,8 @@
 use volo_http::error;
 use volo_http::response;
 
-use crate::daemon::header_names;
-use crate::daemon::reply;
+use crate::daemon::traffic_threads::header_names;
+use crate::daemon::traffic_threads::reply;
 use crate::http1;
 
 /// Idle connections kept per server. 36 entry VMs with 6 each stay well below
--- a/src/daemon/server_report.rs
+++ b/src/daemon/traffic_threads/server_report.rs
@@ -1,6 +1,6 @@
 //! What a backend server says about itself with an answer.
 
-use crate::daemon::header_names;
+use crate::daemon::traffic_threads::header_names;
 
 /// What a backend server says about itself with an answer.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/src/daemon/stored.rs
+++ b/src/daemon/traffic_threads/stored.rs
@@ -5,8 +5,8 @@
 use volo_http::response;
 
 use crate::claims;
-use crate::daemon::header_names;
-use crate::daemon::reply;
+use crate::daemon::traffic_threads::header_names;
+use crate::daemon::traffic_threads::reply;
 
 /// An answer to a keyed request, read whole where it is small enough to keep.
 pub enum KeyedAnswer {
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic_threads/traffic.rs
@@ -14,12 +14,12 @@
 use crate::configs;
 use crate::context;
 use crate::daemon;
-use crate::daemon::come_back;
-use crate::daemon::failure;
-use crate::daemon::header_names;
-use crate::daemon::keyed_home;
-use crate::daemon::reply;
-use crate::daemon::work;
+use crate::daemon::keyed_requests::keyed_home;
+use crate::daemon::traffic_threads::come_back;
+use crate::daemon::traffic_threads::failure;
+use crate::daemon::traffic_threads::header_names;
+use crate::daemon::traffic_threads::reply;
+use crate::daemon::traffic_threads::work;
 use crate::telemetry;
 use crate::verdict;
 
--- a/src/health/detector.rs
+++ b/src/health/detector.rs
@@ -59,7 +59,7 @@
         self.judgement
             .servers
             .get(server_id)
-            .map_or(health::weights::FULL_PERMILLE, |track| {
+            .map_or(health::server_track::FULL_PERMILLE, |track| {
                 track.weight_permille
             })
     }
--- a/src/health/server_track.rs
+++ b/src/health/server_track.rs
@@ -7,6 +7,9 @@
 use crate::configs;
 use crate::health;
 
+/// Weight of a server that gets its usual share.
+pub(super) const FULL_PERMILLE: u32 = 1_000;
+
 /// Least sum, in thousandths of a nat, that one summary reports. More good
 /// outcomes than that would hide a fault that has just begun, which the
 /// sequential test on a single stream would not let them do.
@@ -58,7 +61,7 @@
             phase: health::phase::Phase::InService,
             reference: None,
             run: None,
-            weight_permille: health::weights::FULL_PERMILLE,
+            weight_permille: FULL_PERMILLE,
         }
     }
 
@@ -66,7 +69,7 @@
     pub(super) fn is_reference(&self) -> bool {
         self.is_judged
             && self.phase == health::phase::Phase::InService
-            && self.weight_permille == health::weights::FULL_PERMILLE
+            && self.weight_permille == FULL_PERMILLE
     }
 
     pub(super) fn is_ejected(&self) -> bool {
--- a/src/health/weights.rs
+++ b/src/health/weights.rs
@@ -2,8 +2,6 @@
 
 use crate::health;
 
-/// Weight of a server that gets its usual share.
-pub(super) const FULL_PERMILLE: u32 = 1_000;
 /// Weight of a server that is suspected, but not strongly enough to eject it.
 /// A trickle at once would starve the test of evidence.
 const SUSPECT_PERMILLE: u32 = 500;
@@ -24,7 +22,7 @@
     let steer_milli = thresholds.steer_milli();
     let usual_permille = match track.phase {
         health::phase::Phase::Ejected { .. } => return 0,
-        health::phase::Phase::InService => FULL_PERMILLE,
+        health::phase::Phase::InService => health::server_track::FULL_PERMILLE,
         health::phase::Phase::Probation { step, .. } => step
             .checked_sub(1)
             .and_then(|step| PROBATION_PERMILLE.get(step).copied())
@@ -37,7 +35,7 @@
     } else if suspicion_milli > steer_milli / 2 {
         track.weight_permille.max(trickle_permille)
     } else {
-        FULL_PERMILLE
+        health::server_track::FULL_PERMILLE
     };
     usual_permille.min(suspect_permille)
 }
