--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -97,6 +97,7 @@
     let host = head.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
     let Some(route) = routes.find(host, head.uri.path()) else {
+        request_log::note_no_route(shared, request_id, host, &head.uri, routes);
         return Err(verdict::Refusal::not_run(
             verdict::RefusalReason::NoRoute,
             0,
@@ -161,6 +162,7 @@
         };
         let use_of_server = in_flight::ServerUse::begin(shared, choice.lifetime);
         if let Some(wait_ms) = come_back::hopeless_wait_ms(shared, work, &choice) {
+            request_log::note_hopeless(shared, work, &choice);
             let reason = verdict::RefusalReason::QueueFull;
             return tried.give_up(shared, work, reason, wait_ms);
         }
@@ -205,10 +207,12 @@
             }
         };
         let Some(reason) = reason else {
+            request_log::note_no_retry(shared, work, &room, step);
             let retry_ms = come_back::come_back_ms(shared, work);
             return tried.give_up(shared, work, failure.reason, retry_ms);
         };
         shared.metrics.counters.add_retry(reason);
+        request_log::note_retry(shared, work, &room, reason);
         if shared.is_quarantined(work.fingerprint) {
             return tried.give_up(shared, work, verdict::RefusalReason::Quarantined, 0);
         }
--- a/src/gateway/traffic_thread/request_log.rs
+++ b/src/gateway/traffic_thread/request_log.rs
@@ -102,3 +102,84 @@
         )
     });
 }
+
+/// Notes that not even the best server can end the request in time.
+pub fn note_hopeless(shared: &gateway::Shared, work: &work::Work<'_>, choice: &gateway::Choice) {
+    shared.journal.decision("request.hopeless", || {
+        format!(
+            "id={} service={} best_server={} in_flight={} slots={} usual_ms={:.0} left_ms={}",
+            work.request_id,
+            work.service,
+            choice.backend.id,
+            choice.in_flight,
+            choice.backend.slot_count,
+            shared.board().mean_run_ms(work.service),
+            work.left_ms(),
+        )
+    });
+}
+
+/// Notes that a request is sent to another server.
+pub fn note_retry(
+    shared: &gateway::Shared,
+    work: &work::Work<'_>,
+    room: &gateway::RetryRoom,
+    reason: verdict::RetryReason,
+) {
+    shared.journal.decision("retry.begun", || {
+        format!(
+            "id={} service={} reason={} arrivals={} max_attempts={} left_ms={} usual_ms={}",
+            work.request_id,
+            work.service,
+            reason.as_str(),
+            room.arrivals_count,
+            room.max_attempts,
+            room.left_ms,
+            room.usual_run_ms,
+        )
+    });
+}
+
+/// Notes that a request is not sent to another server, and why.
+pub fn note_no_retry(
+    shared: &gateway::Shared,
+    work: &work::Work<'_>,
+    room: &gateway::RetryRoom,
+    step: gateway::NextStep,
+) {
+    shared.journal.decision("retry.denied", || {
+        let cause = match step {
+            gateway::NextStep::GiveUp => "not-allowed",
+            _ => "budget-used-up",
+        };
+        format!(
+            "id={} service={} cause={cause} may_repeat={} arrivals={} max_attempts={} left_ms={} \
+             usual_ms={} slack_milli={}",
+            work.request_id,
+            work.service,
+            room.may_repeat,
+            room.arrivals_count,
+            room.max_attempts,
+            room.left_ms,
+            room.usual_run_ms,
+            shared.snapshot.load().retry_slack_milli,
+        )
+    });
+}
+
+/// Notes that no route matches.
+pub fn note_no_route(
+    shared: &gateway::Shared,
+    request_id: &str,
+    host: &str,
+    uri: &http::Uri,
+    routes: &gateway::RouteIndex,
+) {
+    shared.journal.decision("request.no-route", || {
+        format!(
+            "id={request_id} host=\"{host}\" path=\"{}\" configuration={}",
+            uri.path(),
+            routes.configuration.version
+        )
+    });
+}
