--- a/src/gateway/backend_table.rs
+++ b/src/gateway/backend_table.rs
@@ -143,6 +143,10 @@
         now_ms: u64,
         page: ports::FeedPage<ports::Backend>,
     ) -> Vec<gateway::BackendChange> {
+        // Removals of keys that this VM does not know are not among the records,
+        // so others must take the whole table from it.
+        self.forgotten_mark = self.forgotten_mark.max(page.next_offset);
+        self.change_mark = self.change_mark.max(page.next_offset);
         let listed: indexmap::IndexSet<&String> =
             page.entries.iter().map(|entry| &entry.key).collect();
         let removed_offset = page.next_offset.saturating_sub(1);
@@ -174,20 +178,22 @@
         mark < self.forgotten_mark
     }
 
-    /// Takes in rows of another VM: those since this VM's mark, or all of
-    /// them if `is_whole`.
+    /// Takes in rows of another VM: those since this VM's mark, or the whole
+    /// table as of `whole_mark`.
     pub fn merge(
         &mut self,
         now_ms: u64,
         rows: indexmap::IndexMap<String, BackendRow>,
-        is_whole: bool,
+        whole_mark: Option<u64>,
         next_offset: u64,
     ) -> Vec<gateway::BackendChange> {
         let mut changes = Vec::new();
-        if is_whole {
-            let newest_mark = rows.values().map(|row| row.change_mark).max().unwrap_or(0);
+        if let Some(whole_mark) = whole_mark {
+            self.forgotten_mark = self.forgotten_mark.max(whole_mark);
+            self.change_mark = self.change_mark.max(whole_mark);
             let unlisted = self.rows.iter().filter(|(key, row)| {
-                row.change_mark < newest_mark && row.backend.is_some() && !rows.contains_key(*key)
+                let is_gone = rows.get(*key).is_none_or(|other| other.backend.is_none());
+                row.change_mark <= whole_mark && row.backend.is_some() && is_gone
             });
             let unlisted: Vec<String> = unlisted.map(|(key, _)| key.clone()).collect();
             for key in unlisted {
@@ -195,7 +201,7 @@
                     now_ms,
                     ports::FeedEntry {
                         key,
-                        offset: newest_mark.saturating_sub(1),
+                        offset: whole_mark.saturating_sub(1),
                         value: Ok(None),
                     },
                 ));
@@ -203,11 +209,14 @@
         }
         for (key, row) in rows {
             let known = self.rows.get(&key);
-            let is_known = known.is_some_and(|known| {
-                known.change_mark > row.change_mark
-                    || (known.change_mark == row.change_mark && !known.is_lapse_ended_by(&row))
-            });
-            if is_known {
+            let known_mark = known.map_or(0, |known| known.change_mark);
+            // The whole table counts for all that it covers; a single row only
+            // if it is newer.
+            let is_covered = whole_mark.is_some_and(|whole_mark| known_mark <= whole_mark);
+            let is_newer = row.change_mark > known_mark;
+            let ends_lapse = known.is_some_and(|known| known.is_lapse_ended_by(&row));
+            let is_as_new = row.change_mark == known_mark && ends_lapse;
+            if !is_covered && !is_newer && !is_as_new {
                 continue;
             }
             self.change_mark = self.change_mark.max(row.change_mark);
@@ -223,6 +232,7 @@
             self.rows.insert(
                 key,
                 BackendRow {
+                    change_mark: row.change_mark.max(known_mark),
                     noted_ms: now_ms,
                     ..row
                 },
@@ -296,8 +306,8 @@
                     offset: entry.offset,
                 });
             }
-            row.lapse_left_ms = None;
-            if is_same(row.backend.as_deref(), backend.as_ref()) {
+            let was_waiting = row.lapse_left_ms.take().is_some();
+            if !was_waiting && is_same(row.backend.as_deref(), backend.as_ref()) {
                 return None;
             }
         }
--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -361,9 +361,10 @@
         let (changes, updated_configuration, is_known) = {
             let mut knowledge = self.knowledge();
             let next_offset = state.registry_next_offset;
+            let whole_mark = state.is_whole.then_some(state.news.registry_mark);
             let changes = knowledge
                 .backends
-                .merge(now_ms, state.rows, state.is_whole, next_offset);
+                .merge(now_ms, state.rows, whole_mark, next_offset);
             knowledge.confirm_from(now_ms, &state.news);
             let update = state.configuration_change.as_ref();
             let update = update.zip(knowledge.routes());
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -10,6 +10,8 @@
 mod read_schedule;
 #[path = "gateway/registry.rs"]
 mod registry;
+#[path = "gateway/registry_random.rs"]
+mod registry_random;
 #[path = "gateway/retries.rs"]
 mod retries;
 #[path = "gateway/routes.rs"]
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -11,7 +11,8 @@
     let since = if is_whole { 0 } else { to.change_mark() };
     let rows = from.rows_since(now_ms, since);
     let rows = rows.map(|(key, row)| (key.clone(), row)).collect();
-    to.merge(now_ms, rows, is_whole, from.next_offset().unwrap_or(0));
+    let whole_mark = is_whole.then_some(from.change_mark());
+    to.merge(now_ms, rows, whole_mark, from.next_offset().unwrap_or(0));
 }
 
 #[test]
@@ -133,7 +134,7 @@
     let rows = calm.rows_since(9_100, 0);
     let rows = rows.map(|(key, row)| (key.clone(), row)).collect();
 
-    reader.merge(9_100, rows, false, 4);
+    reader.merge(9_100, rows, None, 4);
 
     assert_eq!(fixtures::ids(&reader), ["s1", "s2"]);
 }
