Judge large bodies by nothing rather than by their path; drop an unused header

A body that is passed on as it comes was remembered by its path alone, so two crashes could have refused other uploads to the same path.

--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -103,9 +103,10 @@
 
     /// Tells whether requests like this one crash servers.
     #[must_use]
-    pub fn is_quarantined(&self, fingerprint: u64) -> bool {
+    pub fn is_quarantined(&self, fingerprint: Option<u64>) -> bool {
         let now_ms = self.now_ms();
-        self.quarantine().is_quarantined(now_ms, fingerprint)
+        let quarantine = self.quarantine();
+        fingerprint.is_some_and(|fingerprint| quarantine.is_quarantined(now_ms, fingerprint))
     }
 
     /// Locks the quarantine.
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -111,11 +111,13 @@
     let body = taken_body::read_body(shared, &head, body, max_body_bytes, limit).await?;
     let draw = rand::random_range(0..route.total_weight());
     let head_path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let bytes = match &body {
-        taken_body::TakenBody::Whole(bytes) => bytes.clone(),
-        taken_body::TakenBody::Large(_) => bytes::Bytes::new(),
+    let fingerprint = match &body {
+        taken_body::TakenBody::Whole(bytes) => {
+            let path_hash = xxh3::xxh3_64(head_path.as_bytes());
+            Some(xxh3::xxh3_64_with_seed(bytes, path_hash))
+        }
+        taken_body::TakenBody::Large(_) => None,
     };
-    let fingerprint = xxh3::xxh3_64_with_seed(&bytes, xxh3::xxh3_64(head_path.as_bytes()));
     let work = work::Work {
         fingerprint,
         limit,
--- a/src/gateway/traffic_thread/request_log.rs
+++ b/src/gateway/traffic_thread/request_log.rs
@@ -63,8 +63,8 @@
     if failure.end == gateway::AttemptEnd::Unanswered && !is_overdue {
         shared.note_evidence(choice.lifetime, gateway::Evidence::Failure);
     }
-    if failure.is_death {
-        shared.note_death(work.fingerprint, ran_ms, &choice.backend.id);
+    if let Some(fingerprint) = work.fingerprint.filter(|_| failure.is_death) {
+        shared.note_death(fingerprint, ran_ms, &choice.backend.id);
     }
     shared.metrics.counters.add("attempt.failed");
     shared.journal.decision("attempt.failed", || {
--- a/src/gateway/traffic_thread/work.rs
+++ b/src/gateway/traffic_thread/work.rs
@@ -6,8 +6,8 @@
 
 /// One request on its way to a backend server.
 pub struct Work<'a> {
-    /// Hash of its path and body.
-    pub fingerprint: u64,
+    /// Hash of its path and body; nothing if the body was not read whole.
+    pub fingerprint: Option<u64>,
     /// Its head, as it goes on.
     pub head: http::request::Parts,
     /// When the caller must have its answer.
--- a/src/ports/header_dialect.rs
+++ b/src/ports/header_dialect.rs
@@ -9,8 +9,6 @@
     pub deadline_ms: header::HeaderName,
     /// Lifetime that a request is meant for; others answer 421.
     pub expected_backend: header::HeaderName,
-    /// Running, waiting and slots of a backend server, separated by commas.
-    pub load: header::HeaderName,
     /// Present when a backend server did not run the request.
     pub not_run: header::HeaderName,
     /// Names one attempt of a caller; echoed by backend servers.
