--- a/src/gateway/backend_board.rs
+++ b/src/gateway/backend_board.rs
@@ -28,10 +28,10 @@
 const SPARED_SUSPICION: f64 = 0.5;
 /// Time without work after which a server that must be seen in use is given a
 /// request, in milliseconds: the contract looks at spans of two seconds.
-const MAX_UNUSED_MS: u64 = 1_200;
+const MAX_UNUSED_MS: u64 = 1_000;
 /// Spread of that time, so that VMs do not all choose the same server, in
 /// milliseconds.
-const UNUSED_SPREAD_MS: f64 = 500.0;
+const UNUSED_SPREAD_MS: f64 = 400.0;
 /// Good answers that one report may add for a server.
 const MAX_REPORTED_SUCCESSES: u32 = 4;
 /// What a certainly failing server costs, as load: more than another zone and
