--- a/src/gateway/backend_board.rs
+++ b/src/gateway/backend_board.rs
@@ -50,10 +50,10 @@
 /// region see them together.
 #[derive(Debug)]
 pub struct BackendBoard {
+    by_service: indexmap::IndexMap<String, Vec<u64>>,
     config: configs::SuspicionConfig,
     lifetimes: indexmap::IndexMap<u64, Track>,
     min_share_permille: u64,
-    own: indexmap::IndexMap<String, Vec<u64>>,
     reports: indexmap::IndexMap<net::SocketAddr, PeerLoad>,
     run_time_ms: indexmap::IndexMap<String, f64>,
     services: indexmap::IndexMap<String, service_trouble::ServiceTrouble>,
@@ -131,10 +131,10 @@
     #[must_use]
     pub fn new(config: configs::SuspicionConfig, min_share_permille: u64) -> Self {
         Self {
+            by_service: indexmap::IndexMap::new(),
             config,
             lifetimes: indexmap::IndexMap::new(),
             min_share_permille,
-            own: indexmap::IndexMap::new(),
             reports: indexmap::IndexMap::new(),
             run_time_ms: indexmap::IndexMap::new(),
             services: indexmap::IndexMap::new(),
@@ -149,7 +149,7 @@
         backends: impl Iterator<Item = &'a sync::Arc<ports::Backend>>,
     ) {
         let mut lifetimes = indexmap::IndexMap::new();
-        self.own.clear();
+        self.by_service.clear();
         for backend in backends {
             let lifetime = backend.lifetime();
             let known = self.lifetimes.swap_remove(&lifetime);
@@ -170,7 +170,7 @@
                 },
             );
             lifetimes.insert(lifetime, track);
-            let of_service = self.own.entry(backend.service.clone()).or_default();
+            let of_service = self.by_service.entry(backend.service.clone()).or_default();
             of_service.push(lifetime);
         }
         self.lifetimes = lifetimes;
@@ -182,7 +182,7 @@
     /// load. Suspicion counts in full only for as many servers as leave the
     /// service its minimum share, the most suspect ones.
     pub fn choose(&mut self, now_ms: u64, request: &ChoiceRequest<'_>) -> Option<Choice> {
-        let of_service = self.own.get(request.service)?;
+        let of_service = self.by_service.get(request.service)?;
         let candidates: Vec<(u64, f64)> = of_service
             .iter()
             .filter(|lifetime| !request.excluded.contains(lifetime))
