Let the VMs of a starting fleet know each other before traffic begins

Cause: a VM that starts knows three seeds and asked one member once for the complete list, while the seeds themselves knew few others. The rest came in updates of 512 bytes a message and repairs of 2 KB each ten seconds.

Change: lists that are far apart are transferred as a whole; a VM compares its list each second in its first eight periods; candidates are pinged at once; a suspect is told of the suspicion by a random VM each second.

New test: all VMs known to all before traffic begins (8 s).

--- a/examples/membership_slopes.rs
+++ b/examples/membership_slopes.rs
@@ -7,6 +7,7 @@
 //! partition between the two regions. Every VM holds about 450 bytes for every
 //! other VM, so that a fleet of 7,400 VMs takes about 25 GB.
 
+#[allow(dead_code, reason = "the tests use the rest")]
 #[path = "../tests/membership/network.rs"]
 mod network;
 
--- a/src/membership/anti_entropy.rs
+++ b/src/membership/anti_entropy.rs
@@ -8,6 +8,28 @@
 use crate::membership::member_table;
 use crate::membership::membership_core;
 
+/// Number of comparisons with a peer in the first periods after the start.
+const START_REPAIR_COUNT: u32 = 8;
+/// Share of the occupied buckets that differ in two lists from which on the
+/// complete list is transferred, as a divisor.
+const FAR_APART_DIVISOR: usize = 4;
+/// Minimum number of buckets that differ in lists that are far apart.
+const MIN_FAR_APART_BUCKETS: usize = 4;
+
+/// Returns whether two lists differ by so much that a repair, which transfers a few
+/// records, takes many rounds.
+///
+/// Load pattern: all VMs of a large fleet start at the same time and know only a few
+/// seeds. Each of them joins while the seeds themselves know few others.
+fn is_far_apart(own_digests: &[u16], peer_digests: &[u16]) -> bool {
+    let pairs = own_digests.iter().zip(peer_digests);
+    let occupied = pairs
+        .clone()
+        .filter(|(own, peer)| **own != 0 || **peer != 0);
+    let differing = pairs.filter(|(own, peer)| own != peer).count();
+    differing >= MIN_FAR_APART_BUCKETS && differing * FAR_APART_DIVISOR > occupied.count()
+}
+
 impl membership_core::Membership {
     /// Requests the missing part of the member table from a random member.
     pub(super) fn continue_sync(&mut self) {
@@ -19,6 +41,20 @@
         }
     }
 
+    /// Sets the time of the next comparison of the member list with a peer.
+    ///
+    /// A VM that has just started compares it in each period.
+    pub(super) fn schedule_repair(&mut self) {
+        let is_starting = self.start_repair_count < START_REPAIR_COUNT;
+        self.start_repair_count += u32::from(is_starting);
+        let period_ms = if is_starting {
+            self.config.probe_period_ms
+        } else {
+            self.config.repair_period_ms
+        };
+        self.repair_due_ms = self.now_ms + period_ms;
+    }
+
     pub(super) fn handle_sync_request(&mut self, from: net::SocketAddr, first_bucket: u16) {
         let mut members = vec![self.own_member.clone()];
         let mut remaining_bytes = self.config.sync_limit_bytes;
@@ -66,12 +102,21 @@
     }
 
     /// Sends the stamps of the buckets whose digests differ, starting at a
-    /// random bucket, up to the repair limit.
+    /// random bucket, up to the repair limit. If the lists are far apart, requests
+    /// the complete list instead.
     pub(super) fn compare_digests(&mut self, from: net::SocketAddr, peer_digests: &[u16]) {
         let own_digests = self.table.bucket_digests(&self.own_member.stamp());
         if own_digests.len() != peer_digests.len() {
             return;
         }
+        if is_far_apart(&own_digests, peer_digests) {
+            let first_bucket = 0;
+            self.sync_next_bucket = Some(first_bucket);
+            self.repair_due_ms = self.now_ms;
+            let body = membership::MessageBody::SyncRequest { first_bucket };
+            self.send_with(from, body, Vec::new());
+            return;
+        }
         let first = self.rng.random_range(0..member_table::BUCKET_COUNT);
         let (mut buckets, mut stamps) = (Vec::new(), Vec::new());
         for step in 0..member_table::BUCKET_COUNT {
--- a/src/membership/event_handling.rs
+++ b/src/membership/event_handling.rs
@@ -100,6 +100,10 @@
                 self.candidates.insert(vm.address);
             }
         }
+        // A VM that has just started does not wait for its first period.
+        if self.table.is_empty() {
+            self.ping_candidates();
+        }
     }
 }
 
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -65,6 +65,11 @@
         members.fold(own_stamp.digest(), |all, digest| all ^ digest)
     }
 
+    /// Returns whether the table has no member.
+    pub fn is_empty(&self) -> bool {
+        self.iter().next().is_none()
+    }
+
     pub fn get(&self, address: net::SocketAddr) -> Option<&membership::Member> {
         self.members.get(&address)
     }
--- a/src/membership/membership_core.rs
+++ b/src/membership/membership_core.rs
@@ -32,6 +32,8 @@
     pub(super) relays: indexmap::IndexMap<u64, Relay>,
     pub(super) repair_due_ms: u64,
     pub(super) rng: rand::rngs::SmallRng,
+    /// Number of comparisons with a peer in the first periods, up to a limit.
+    pub(super) start_repair_count: u32,
     /// First bucket still to be fetched after the start; `None` when complete.
     pub(super) sync_next_bucket: Option<u16>,
     pub(super) table: member_table::MemberTable,
@@ -86,6 +88,7 @@
             relays: indexmap::IndexMap::new(),
             repair_due_ms: 0,
             rng,
+            start_repair_count: 0,
             sync_next_bucket: Some(0),
             table: member_table::MemberTable::new(),
         }
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use rand::Rng as _;
+use rand::seq::IteratorRandom as _;
 
 use crate::membership;
 use crate::membership::membership_core;
@@ -34,6 +35,7 @@
             self.finish_probe();
             self.start_probe();
             self.probe_dead();
+            self.notify_suspect();
             self.ping_candidates();
             self.continue_sync();
             let now_ms = self.now_ms;
@@ -114,7 +116,7 @@
         let is_repair_due = self.repair_due_ms <= self.now_ms;
         let digest = is_repair_due.then(|| self.table.digest(&self.own_member.stamp()));
         if is_repair_due {
-            self.repair_due_ms = self.now_ms + self.config.repair_period_ms;
+            self.schedule_repair();
         }
         let seq = self.ping(target, digest);
         self.probe = Some(membership_core::Probe {
@@ -134,8 +136,37 @@
         }
     }
 
+    /// Lets a random member ping a suspect on behalf of this VM and tell it of the
+    /// suspicion, so that it can refute it.
+    ///
+    /// Load pattern: some pairs of VMs are cut in one direction. The suspicion or its
+    /// refutation may pass through such a pair, and each change is sent a limited
+    /// number of times only.
+    fn notify_suspect(&mut self) {
+        let suspects = self.table.iter();
+        let suspects = suspects.filter(|member| member.state == membership::MemberState::Suspect);
+        let Some(stamp) = suspects
+            .map(membership::Member::stamp)
+            .choose(&mut self.rng)
+        else {
+            return;
+        };
+        let Some(helper) = self.table.random_live(&mut self.rng) else {
+            return;
+        };
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        let target = stamp.address;
+        if helper == target {
+            self.ping(target, None);
+        } else {
+            let body = membership::MessageBody::PingRequest { seq, target };
+            self.send_with(helper, body, vec![membership::Update::Changed(stamp)]);
+        }
+    }
+
     /// Pings random candidates, which are known by address only.
-    fn ping_candidates(&mut self) {
+    pub(super) fn ping_candidates(&mut self) {
         let has_no_live_member = self.table.random_live(&mut self.rng).is_none();
         let ping_count = if has_no_live_member {
             JOIN_CANDIDATE_COUNT
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -146,6 +146,31 @@
     assert!(left_s.is_some());
 }
 
+/// Guards against a large fleet that starts and stays unknown to itself: 293 VMs
+/// that knew three seeds each asked once for the members, while the seeds knew few of
+/// them, and ten seconds later a VM knew 112 others. Traffic begins eight seconds
+/// after the VMs start.
+#[test]
+fn all_vms_of_a_starting_fleet_know_each_other_before_traffic_begins() {
+    const TRAFFIC_BEGINS_S: u64 = 8;
+    for vm_count in [36, 111, 293] {
+        for loss_percent in [0, 5] {
+            let mut network = Network::starting(vm_count, 3, SEED);
+            network.loss_percent = loss_percent;
+            let known_s = network.run_until(60, |network| {
+                network.count_views(|_, _, state| state == membership::MemberState::Alive)
+                    == vm_count * vm_count
+            });
+            let kilobytes = network.sent_bytes.iter().sum::<usize>() / vm_count / 1_000;
+            println!(
+                "{vm_count} VMs, {loss_percent}% loss: all known to all after {known_s:?} s; \
+                 {kilobytes} KB sent by each VM"
+            );
+            assert!(known_s.is_some_and(|known_s| known_s <= TRAFFIC_BEGINS_S));
+        }
+    }
+}
+
 /// Guards against a VM that does not pull new configuration records because it
 /// does not learn that a peer has them.
 #[test]
--- a/tests/membership/network.rs
+++ b/tests/membership/network.rs
@@ -134,6 +134,32 @@
         self.handle(vm, membership::MembershipEvent::VmList(seen));
     }
 
+    /// Creates a fleet whose VMs have just started, within 300 ms of each other, and
+    /// know only the first `seed_count` VMs.
+    pub fn starting(vm_count: usize, seed_count: usize, seed: u64) -> Self {
+        let mut network = Self::new(vm_count, seed);
+        network.in_flight.clear();
+        network.vms = (0..vm_count).map(|_| None).collect();
+        network.wakeups.clear();
+        network.reset_counts();
+        let mut start_ms: Vec<(u64, usize)> = (0..vm_count)
+            .map(|vm| (network.rng.random_range(0..300), vm))
+            .collect();
+        start_ms.sort_unstable();
+        for (at_ms, vm) in start_ms {
+            network.run(at_ms - network.now_ms);
+            network.start(vm, 2);
+            let seeds = (0..seed_count).filter(|seed| *seed != vm);
+            let seeds = seeds.map(|seed| membership::ListedVm {
+                address: address(seed),
+                leaving: false,
+                vm_id: format!("vm-{seed:06}"),
+            });
+            network.handle(vm, membership::MembershipEvent::VmList(seeds.collect()));
+        }
+        network
+    }
+
     pub fn crash(&mut self, vm: usize) {
         self.vms[vm] = None;
     }
