Use no more suspects of a degraded service than the minimum share needs

Cause: above 8 in 100 failed requests, all servers of a service were used whatever their suspicion. In the first second the share of failures was too high, since a failing server responds in 2 ms and a healthy one in 600.

Change: a degraded service leaves out 15 in 100 of its servers, the most suspect ones: 0.3 (what the contract's minimum share leaves) of one half. The minimum share so holds for any half of the servers, whichever are healthy. Requests count from their begin.

--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -187,10 +187,17 @@
         !is_success
     }
 
-    /// Records whether the caller of a request of this VM was served.
-    pub fn record_outcome(&mut self, now_ms: u64, service: &str, is_served: bool) {
+    /// Records that a request of this VM begins.
+    pub fn record_begin(&mut self, now_ms: u64, service: &str) {
         let health = self.services.entry(service_hash(service)).or_default();
-        health.record_own_outcome(now_ms, is_served);
+        health.record_own_begin(now_ms);
+        self.record_service_change(now_ms, service_hash(service));
+    }
+
+    /// Records that the caller of a request of this VM was not served.
+    pub fn record_unserved(&mut self, now_ms: u64, service: &str) {
+        let health = self.services.entry(service_hash(service)).or_default();
+        health.record_own_unserved(now_ms);
         self.record_service_change(now_ms, service_hash(service));
     }
 
@@ -257,7 +264,7 @@
         }
         for outcomes in &report.services {
             let health = self.services.entry(outcomes.service_hash).or_default();
-            health.record_outcomes(now_ms, outcomes.served_count, outcomes.unserved_count);
+            health.record_requests(now_ms, outcomes.begun_count, outcomes.unserved_count);
             self.record_service_change(now_ms, outcomes.service_hash);
         }
         self.peer_loads.apply_report(now_ms, from, report);
@@ -357,7 +364,7 @@
         let is_degraded = health
             .is_some_and(|health| health.is_degraded(now_ms, self.server_use.trouble_percent));
         let share_permille = if is_degraded {
-            PERMILLE
+            use_floor::degraded_share_permille(self.min_share_permille)
         } else {
             self.min_share_permille + self.server_use.share_margin_percent * PERMILLE / PERCENT
         };
--- a/src/gateway/load_report.rs
+++ b/src/gateway/load_report.rs
@@ -5,7 +5,8 @@
 pub struct LoadReport {
     /// Load of the servers that the VM uses.
     pub servers: Vec<ServerLoad>,
-    /// Outcomes for the services whose requests ended since the last report.
+    /// Outcomes for the services whose requests began or failed since the last
+    /// report.
     pub services: Vec<ServiceOutcomes>,
 }
 
@@ -27,11 +28,11 @@
 /// Outcomes of one VM's requests for one service since its last report.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct ServiceOutcomes {
-    /// Requests whose callers got a response without server error.
-    pub served_count: u32,
+    /// Requests that began.
+    pub begun_count: u32,
     /// Hash of the service's name.
     pub service_hash: u64,
-    /// Requests whose callers got no such response.
+    /// Requests whose callers got no response without server error.
     pub unserved_count: u32,
 }
 
--- a/src/gateway/service_health.rs
+++ b/src/gateway/service_health.rs
@@ -1,4 +1,4 @@
-//! Share of a service's recent requests that failed.
+//! Share of a service's recent requests that were not served.
 
 use std::mem;
 
@@ -11,36 +11,43 @@
 /// Minimum decayed number of requests for a service to count as degraded.
 const MIN_REQUEST_COUNT: f64 = 8.0;
 
-/// Exponentially decaying counts of a service's requests and failures, from this
-/// VM and the VMs that report to it.
+/// Exponentially decaying counts of a service's requests and of those that were not
+/// served, from this VM and the VMs that report to it.
+///
+/// A request counts from its begin.
+///
+/// Load pattern: traffic begins, or all VMs restart. A failing server responds
+/// within milliseconds and a healthy one after half a second, so of the requests
+/// that have ended in the first second, most have failed.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ServiceHealth {
     failures: f64,
     /// Whether the service was degraded in the last reported health change.
     was_degraded: bool,
-    own_served_count: u32,
+    own_begun_count: u32,
     own_unserved_count: u32,
     requests: f64,
     updated_ms: u64,
 }
 
 impl ServiceHealth {
-    /// Records the outcome of a request of this VM.
-    pub(super) fn record_own_outcome(&mut self, now_ms: u64, is_served: bool) {
-        if is_served {
-            self.own_served_count += 1;
-        } else {
-            self.own_unserved_count += 1;
-        }
-        self.record_outcomes(now_ms, u32::from(is_served), u32::from(!is_served));
+    /// Records that a request of this VM begins.
+    pub(super) fn record_own_begin(&mut self, now_ms: u64) {
+        self.own_begun_count += 1;
+        self.record_requests(now_ms, 1, 0);
+    }
+
+    /// Records that a request of this VM was not served.
+    pub(super) fn record_own_unserved(&mut self, now_ms: u64) {
+        self.own_unserved_count += 1;
+        self.record_requests(now_ms, 0, 1);
     }
 
-    /// Records the outcomes of requests of any VM.
-    pub(super) fn record_outcomes(&mut self, now_ms: u64, served_count: u32, unserved_count: u32) {
+    /// Records requests of any VM that begin, and others that were not served.
+    pub(super) fn record_requests(&mut self, now_ms: u64, begun_count: u32, unserved_count: u32) {
         let retained = self.retained_share(now_ms);
-        let unserved = f64::from(unserved_count);
-        self.failures = self.failures * retained + unserved;
-        self.requests = self.requests * retained + f64::from(served_count) + unserved;
+        self.failures = self.failures * retained + f64::from(unserved_count);
+        self.requests = self.requests * retained + f64::from(begun_count);
         self.updated_ms = now_ms;
     }
 
@@ -63,15 +70,15 @@
         Some(self.failures / self.requests)
     }
 
-    /// Returns the outcomes of this VM's requests for the next load report and resets
-    /// the counts; `None` if no request has ended.
+    /// Returns the counts of this VM's requests for the next load report and resets
+    /// them; `None` if there is nothing to report.
     pub(super) fn take_outcomes(&mut self, service_hash: u64) -> Option<gateway::ServiceOutcomes> {
         let outcomes = gateway::ServiceOutcomes {
-            served_count: mem::take(&mut self.own_served_count),
+            begun_count: mem::take(&mut self.own_begun_count),
             service_hash,
             unserved_count: mem::take(&mut self.own_unserved_count),
         };
-        (outcomes.served_count + outcomes.unserved_count > 0).then_some(outcomes)
+        (outcomes.begun_count + outcomes.unserved_count > 0).then_some(outcomes)
     }
 
     fn retained_share(&self, now_ms: u64) -> f64 {
--- a/src/gateway/traffic_thread/in_flight.rs
+++ b/src/gateway/traffic_thread/in_flight.rs
@@ -74,6 +74,8 @@
         shared: &sync::Arc<gateway::Shared>,
         routed: &routed_request::RoutedRequest<'_>,
     ) -> Self {
+        let now_ms = shared.now_ms();
+        shared.update_backend_pool(|pool| pool.record_begin(now_ms, routed.service));
         Self {
             started_at: time::Instant::now(),
             is_outcome_recorded: false,
@@ -88,10 +90,10 @@
     /// other requests perform.
     pub fn record_outcome(mut self, is_served: bool, was_probe: bool) {
         self.is_outcome_recorded = true;
-        if is_served || !was_probe {
+        if !is_served && !was_probe {
             let now_ms = self.shared.now_ms();
             self.shared
-                .update_backend_pool(|pool| pool.record_outcome(now_ms, &self.service, is_served));
+                .update_backend_pool(|pool| pool.record_unserved(now_ms, &self.service));
         }
     }
 }
@@ -103,7 +105,7 @@
         }
         let now_ms = self.shared.now_ms();
         self.shared
-            .update_backend_pool(|pool| pool.record_outcome(now_ms, &self.service, false));
+            .update_backend_pool(|pool| pool.record_unserved(now_ms, &self.service));
         self.shared.metrics.counters.add("request.caller-left");
         self.shared.decision_log.record("request.caller-left", || {
             format!(
--- a/testbed/src/replay/backend_pool_balancer.rs
+++ b/testbed/src/replay/backend_pool_balancer.rs
@@ -71,8 +71,12 @@
         self.0.record_peer_evidence(now_ms, incarnation, evidence);
     }
 
-    fn record_outcome(&mut self, now_ms: u64, service: &str, is_served: bool) {
-        self.0.record_outcome(now_ms, service, is_served);
+    fn record_begin(&mut self, now_ms: u64, service: &str) {
+        self.0.record_begin(now_ms, service);
+    }
+
+    fn record_unserved(&mut self, now_ms: u64, service: &str) {
+        self.0.record_unserved(now_ms, service);
     }
 
     fn record_shed(&mut self, now_ms: u64, incarnation: u64) {
--- a/testbed/src/replay/balancer.rs
+++ b/testbed/src/replay/balancer.rs
@@ -41,8 +41,11 @@
     /// Records evidence about a server from another VM.
     fn record_peer_evidence(&mut self, now_ms: u64, incarnation: u64, evidence: gateway::Evidence);
 
-    /// Records whether a request was served.
-    fn record_outcome(&mut self, now_ms: u64, service: &str, is_served: bool);
+    /// Records that a request begins.
+    fn record_begin(&mut self, now_ms: u64, service: &str);
+
+    /// Records that a request was not served.
+    fn record_unserved(&mut self, now_ms: u64, service: &str);
 
     /// Records that a server refused a request.
     fn record_shed(&mut self, now_ms: u64, incarnation: u64);
--- a/testbed/src/replay/baseline_balancer.rs
+++ b/testbed/src/replay/baseline_balancer.rs
@@ -98,7 +98,9 @@
     ) {
     }
 
-    fn record_outcome(&mut self, _now_ms: u64, _service: &str, _is_served: bool) {}
+    fn record_begin(&mut self, _now_ms: u64, _service: &str) {}
+
+    fn record_unserved(&mut self, _now_ms: u64, _service: &str) {}
 
     fn record_shed(&mut self, _now_ms: u64, _incarnation: u64) {}
 
--- a/testbed/src/replay/simulation.rs
+++ b/testbed/src/replay/simulation.rs
@@ -170,7 +170,9 @@
             sent_count: request.sent_count,
         };
         self.event_queue.push(request.deadline_ms, time_out);
-        self.vms[request.vm].retry_budgets[request.service].record_request(now_ms);
+        let vm = &mut self.vms[request.vm];
+        vm.retry_budgets[request.service].record_request(now_ms);
+        vm.balancer.record_begin(now_ms, &service.name);
         self.start_attempt(request_index);
     }
 
@@ -399,9 +401,8 @@
         let request = &mut self.requests[request_index];
         let service = &self.scenario.services[request.service];
         let vm = &mut self.vms[request.vm];
-        if outcome == RequestOutcome::Served || !request.used_probe {
-            vm.balancer
-                .record_outcome(now_ms, &service.name, outcome == RequestOutcome::Served);
+        if outcome != RequestOutcome::Served && !request.used_probe {
+            vm.balancer.record_unserved(now_ms, &service.name);
         }
         let repeat = self.scenario.disturbances.iter().find(|disturbance| {
             disturbance.kind == replay::DisturbanceKind::Repeat
