Let a request's time pass while it waits behind others on its connection

Cause: a caller may send further requests before the first response. The time of the second one began only when it was its turn, so work was started whose caller no longer waited; and when the caller left, the requests that it had sent ahead were still sent to servers, because the HTTP library does not notice the end of a connection while a further request is in its buffer.

Change: the time of a request begins when the last byte of its head was read; a request without time left is refused as not run; a connection that its caller closes while a request is served ends with all that waits on it. While a VM starts, requests wait up to 1.5 s for the first configuration, and no longer once the VM has been without one for 3 s.

--- a/src/gateway/traffic_thread/caller_listener.rs
+++ b/src/gateway/traffic_thread/caller_listener.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::gateway;
+use crate::gateway::traffic_thread::caller_stream;
 use crate::gateway::traffic_thread::response;
 use crate::http1;
 use crate::ports;
@@ -101,9 +102,18 @@
     };
     // A connection is also served if these socket options cannot be set.
     let _ = http1::set_socket_options(&stream, &options);
-    let service = hyper::service::service_fn(move |request| {
+    let (stream, observer) = caller_stream::CallerStream::new(stream);
+    let requests = sync::Arc::clone(&observer);
+    let service = hyper::service::service_fn(move |mut request| {
+        let arrived_at = requests.begin_request();
+        request.extensions_mut().insert(arrived_at);
         let response = handler(request);
-        async move { Ok::<_, convert::Infallible>(response.await) }
+        let requests = sync::Arc::clone(&requests);
+        async move {
+            let response = response.await;
+            requests.end_request();
+            Ok::<_, convert::Infallible>(response)
+        }
     });
     let connection = hyper_server::Builder::new()
         .timer(rt::TokioTimer::new())
@@ -115,7 +125,11 @@
     // Errors of a caller's connection show in the outcomes of its requests.
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = observer.caller_left() => return,
         () = wait_until_closing(&mut closing) => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {},
+        () = observer.caller_left() => {},
+    }
 }
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -9,6 +9,7 @@
 use crate::gateway::traffic_thread::attempt;
 use crate::gateway::traffic_thread::attempt_history;
 use crate::gateway::traffic_thread::caller_body;
+use crate::gateway::traffic_thread::caller_stream;
 use crate::gateway::traffic_thread::in_flight;
 use crate::gateway::traffic_thread::request_log;
 use crate::gateway::traffic_thread::response;
@@ -20,8 +21,14 @@
 /// Retry delay sent to callers while this VM has no configuration, in
 /// milliseconds. A read of the store takes less time.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 300;
-/// Longest time that a request waits for the first configuration and registry.
-const START_WAIT: time::Duration = time::Duration::from_millis(400);
+/// Time after the start until which requests wait for the first configuration and
+/// registry, in milliseconds. Later, this VM does not know when it gets them.
+const START_WAIT_END_MS: u64 = 3_000;
+/// Longest time that a request waits for the first configuration and registry, in
+/// milliseconds.
+const MAX_START_WAIT_MS: u64 = 1_500;
+/// Part of the caller's time that a request waits at most, as a divisor.
+const START_WAIT_DIVISOR: u64 = 4;
 /// Interval at which a request checks for the first configuration and registry.
 const START_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Retry delay sent to callers of a service without servers, in milliseconds.
@@ -37,12 +44,13 @@
     shared: sync::Arc<gateway::Shared>,
     request: http::Request<hyper::body::Incoming>,
 ) -> response::Response {
-    let started_at = time::Instant::now();
     let _in_flight = in_flight::InFlightGuard::begin(&shared);
     let (head, body) = request.into_parts();
+    let arrived_at = head.extensions.get::<caller_stream::ArrivedAt>();
+    let started_at = arrived_at.map_or_else(tokio::time::Instant::now, |arrived_at| arrived_at.0);
     let id = head.headers.get(&shared.headers.request_id);
     let request_id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
-    let mut response = match handle(&shared, &request_id, head, body).await {
+    let mut response = match handle(&shared, &request_id, started_at, head, body).await {
         Ok(response) => response,
         Err(refusal) => {
             request_log::record_refusal(&shared, &request_id, &refusal, started_at.elapsed());
@@ -63,10 +71,10 @@
 async fn handle(
     shared: &sync::Arc<gateway::Shared>,
     request_id: &str,
+    started_at: tokio::time::Instant,
     head: http::request::Parts,
     body: hyper::body::Incoming,
 ) -> Result<response::Response, verdict::Refusal> {
-    let started_at = tokio::time::Instant::now();
     shared.metrics.counters.add("request.received");
     if request_id.is_empty() {
         return Err(verdict::Refusal::not_run(
@@ -74,7 +82,9 @@
             0,
         ));
     }
-    let snapshot = wait_for_snapshot(shared).await;
+    let requested_ms = head.headers.get(&shared.headers.deadline_ms);
+    let requested_ms = requested_ms.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let snapshot = wait_for_snapshot(shared, requested_ms.unwrap_or(u64::MAX)).await;
     let Some(routes) = &snapshot.routes else {
         let reason = verdict::RefusalReason::NoConfiguration;
         return Err(verdict::Refusal::not_run(
@@ -91,8 +101,6 @@
             0,
         ));
     };
-    let requested_ms = head.headers.get(&shared.headers.deadline_ms);
-    let requested_ms = requested_ms.and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let timeout_ms = requested_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     let deadline = started_at + time::Duration::from_millis(timeout_ms);
     let max_body_bytes = routes.configuration.limits.max_body_bytes;
@@ -127,13 +135,21 @@
 
 /// Returns the snapshot published by the control thread.
 ///
-/// Right after the start, waits up to [`START_WAIT`] for a complete snapshot,
-/// which is available sooner than the caller could retry.
-async fn wait_for_snapshot(shared: &gateway::Shared) -> sync::Arc<gateway::Snapshot> {
-    let deadline = tokio::time::Instant::now() + START_WAIT;
+/// Right after the start, waits for a complete snapshot.
+///
+/// Load pattern: all VMs of the fleet restart, and requests arrive while they get the
+/// configuration from the store or from each other. Most callers do not return after
+/// a refusal.
+async fn wait_for_snapshot(
+    shared: &gateway::Shared,
+    time_left_ms: u64,
+) -> sync::Arc<gateway::Snapshot> {
+    let now_ms = shared.now_ms();
+    let wait_ms = MAX_START_WAIT_MS.min(time_left_ms / START_WAIT_DIVISOR);
+    let end_ms = START_WAIT_END_MS.min(now_ms + wait_ms);
     loop {
         let snapshot = shared.snapshot.load_full();
-        if snapshot.is_complete() || tokio::time::Instant::now() >= deadline {
+        if snapshot.is_complete() || shared.now_ms() >= end_ms {
             return snapshot;
         }
         tokio::time::sleep(START_POLL_INTERVAL).await;
@@ -155,6 +171,13 @@
             0,
         ));
     }
+    // A request that waited behind others on its connection may have no time left.
+    if routed.time_left_ms() == 0 {
+        return Err(verdict::Refusal::not_run(
+            verdict::RefusalReason::DeadlineExceeded,
+            0,
+        ));
+    }
     shared.record_request(routed.service);
     loop {
         let Some(choice) = choose(shared, routed, history) else {
