Start hundreds of VMs without hundreds of reads of the store

Cause: each VM that starts read the whole registry from the store, in one call over all pages that timed out after 1.8 s. Messages to dozens of VMs were partly dropped when the socket's buffer was full.

Change: at the start only the seeds read the store, then the readers by rank; the others ask peers of their region and read the store last. A full read goes page by page and keeps its pages when a call fails. A pull comes in replies of 400 rows, from a VM that serves at most four pulls at a time, in a compact form; VMs without state leave the readers of their region 2.5 s before they pull from the other region. Summaries are answered by peers that know better. Pauses after failed reads grow with the rank. Datagrams that the socket does not take wait in a queue. Readers pause 300 ms between reads (150), and 20 in 100 of a zone's VMs serve its callers (30). Peers of an earlier build cannot pull from this one, nor the other way round: they read the store meanwhile.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -161,7 +161,7 @@
             connect_timeout_near_ms: 250,
             entry_point_lifetime_s: 3,
             entry_vm_min_count: 3,
-            entry_vm_share_percent: 30,
+            entry_vm_share_percent: 20,
             distance: DistanceConfig::default(),
             idle_connection_margin_ms: 1_500,
             idle_connection_max_ms: 30_000,
@@ -173,7 +173,7 @@
             server_use: ServerUseConfig::default(),
             store_call_timeout_ms: 800,
 
-            store_read_interval_ms: 150,
+            store_read_interval_ms: 300,
             store_readers_per_region: 2,
             store_stale_ms: 2_000,
             store_wait_ms: 1_000,
--- a/src/gateway/backend_table.rs
+++ b/src/gateway/backend_table.rs
@@ -37,16 +37,17 @@
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct BackendRow {
     /// The server; `None` if it was removed or its record cannot be read.
+    #[serde(rename = "b", default)]
     pub backend: Option<sync::Arc<ports::Backend>>,
     /// Offset after the record that last changed the row.
-    #[serde(rename = "change_mark")]
+    #[serde(rename = "r")]
     pub revision: u64,
     /// Time until a deferred removal takes effect, in milliseconds, counted from
     /// `updated_ms`; `None` if no removal is deferred.
     ///
     /// A removal that may be due to an outage of the store is deferred. In a row
     /// that is sent to another VM, the time counts from when it was sent.
-    #[serde(rename = "lapse_left_ms")]
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub removal_due_in_ms: Option<u64>,
     /// When this VM last updated the row, in milliseconds of its own clock.
     #[serde(skip)]
@@ -104,15 +105,25 @@
         self.rows.values().filter_map(|row| row.backend.as_ref())
     }
 
-    /// Returns the rows that changed after a revision.
+    /// Returns up to `max_count` rows that changed after a revision, in the order of
+    /// their keys, from the first key after `after_key` on.
+    #[must_use]
     pub fn rows_since(
         &self,
         now_ms: u64,
         revision: u64,
-    ) -> impl Iterator<Item = (&String, BackendRow)> {
-        let newer = self.rows.iter();
-        let newer = newer.filter(move |(_, row)| row.revision > revision);
-        newer.map(move |(key, row)| (key, row.as_of(now_ms)))
+        after_key: Option<&str>,
+        max_count: usize,
+    ) -> indexmap::IndexMap<String, BackendRow> {
+        let newer = self.rows.iter().filter(|(key, row)| {
+            row.revision > revision && after_key.is_none_or(|after_key| key.as_str() > after_key)
+        });
+        let mut newer: Vec<(&String, &BackendRow)> = newer.collect();
+        newer.sort_unstable_by_key(|(key, _)| *key);
+        newer.truncate(max_count);
+        let rows = newer.into_iter();
+        rows.map(|(key, row)| (key.clone(), row.as_of(now_ms)))
+            .collect()
     }
 
     /// Records that the table was complete at `confirmed_ms`.
@@ -191,16 +202,15 @@
         revision < self.compacted_revision
     }
 
-    /// Merges rows of another VM: the rows since this VM's revision, or the full
-    /// table as of `full_table_revision`.
+    /// Merges rows of another VM.
     pub fn merge(
         &mut self,
         now_ms: u64,
-        rows: indexmap::IndexMap<String, BackendRow>,
-        full_table_revision: Option<u64>,
-        next_offset: u64,
+        update: gateway::TableUpdate,
     ) -> Vec<gateway::BackendChange> {
         let mut changes = Vec::new();
+        let full_table_revision = update.is_complete.then_some(update.revision);
+        let rows = update.rows;
         if let Some(full_table_revision) = full_table_revision {
             self.compacted_revision = self.compacted_revision.max(full_table_revision);
             self.revision = self.revision.max(full_table_revision);
@@ -233,7 +243,6 @@
             if !is_covered && !is_newer && !is_confirmed_removal {
                 continue;
             }
-            self.revision = self.revision.max(row.revision);
             if known.is_none_or(|known| known.backend != row.backend) {
                 changes.push(gateway::BackendChange {
                     backend: row.backend.clone(),
@@ -252,7 +261,10 @@
                 },
             );
         }
-        self.next_offset = self.next_offset.max(next_offset);
+        // Not the revision of the newest row: another row that changed while the rows
+        // were sent may be missing.
+        self.revision = self.revision.max(update.revision);
+        self.next_offset = self.next_offset.max(update.next_offset);
         changes
     }
 
--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -27,6 +27,8 @@
 const EVENT_QUEUE_CAPACITY: usize = 1_024;
 /// Number of VMs of the region that are notified immediately of new state.
 const URGENT_REGION_RECEIVER_COUNT: usize = 3;
+/// Time between two requests of a VM without any state for it, in milliseconds.
+const STATE_REQUEST_INTERVAL_MS: u64 = 150;
 /// Time between two cleanup passes, in milliseconds.
 const CLEANUP_INTERVAL_MS: u64 = 1_000;
 
@@ -38,6 +40,7 @@
     next_summary_ms: u64,
     next_report_ms: u64,
     next_cleanup_ms: u64,
+    next_state_request_ms: u64,
     datagrams: sync::Arc<datagram_socket::DatagramSocket>,
     pulls: gateway::PullSchedule,
     reads: store_reads::StoreReads,
@@ -72,6 +75,7 @@
             next_summary_ms: 0,
             next_report_ms: 0,
             next_cleanup_ms: 0,
+            next_state_request_ms: 0,
             datagrams,
             pulls: gateway::PullSchedule::default(),
             reads: store_reads::StoreReads::new(
@@ -165,14 +169,19 @@
         }
         let changes = self.cache().backends.tick(now_ms);
         self.apply_backend_changes(&changes, "lapse");
-        let is_reader = self.members.is_reader(now_ms);
-        {
+        let role = self.members.reader_role(now_ms);
+        let has_state = {
             let cache = sync::Arc::clone(&self.cache);
             let cache = cache.lock().unwrap_or_else(sync::PoisonError::into_inner);
-            self.reads.start_due(now_ms, is_reader, &cache);
+            self.reads.start_due(now_ms, role, &cache);
+            store_cache::is_registry_known(&cache) && cache.routes().is_some()
+        };
+        if !has_state && now_ms >= self.next_state_request_ms {
+            self.next_state_request_ms = now_ms + STATE_REQUEST_INTERVAL_MS;
+            self.send_summary(&self.members.state_sources());
         }
         let has_no_peers = self.members.peers().is_empty();
-        self.discovery.tick(now_ms, has_no_peers, is_reader);
+        self.discovery.tick(now_ms, has_no_peers, role.is_reader);
         if now_ms >= self.next_summary_ms {
             self.next_summary_ms = now_ms + self.shared.config.news_interval_ms;
             let mut receivers = self.members.random_peers(1, true);
@@ -320,6 +329,10 @@
             }
             gateway::FleetMessage::StateSummary(summary) => {
                 self.handle_state_summary(now_ms, from, summary);
+                self.reply_to_older_summary(now_ms, from, &summary);
+            }
+            gateway::FleetMessage::StateSummaryReply(summary) => {
+                self.handle_state_summary(now_ms, from, summary);
             }
             gateway::FleetMessage::Quarantine(summary) => {
                 let event = health::QuarantineEvent::PeerSummary(summary);
@@ -347,33 +360,65 @@
             (cache.backends.revision(), cache.configuration_version())
         };
         let candidate = gateway::PullCandidate {
-            can_pull_across_regions: version == 0 || self.members.is_reader(now_ms),
-            is_same_region: self.members.is_in_own_region(from),
             is_newer: summary.configuration_version > version
                 || summary.registry_revision > registry_revision,
+            is_same_region: self.members.is_in_own_region(from),
+            puller: self.puller(now_ms),
         };
+        if candidate.is_newer {
+            self.reads.record_source(now_ms);
+        }
         if !self.pulls.try_begin(now_ms, candidate) {
             return;
         }
         let events = self.events.clone();
         tokio::spawn(async move {
             let pulled = fleet_service::pull(from, registry_revision, version).await;
-            let pulled = pulled.map(|state| state.map(Box::new));
+            let pulled = pulled.map(Box::new);
             let event = control_event::ControlEvent::Pulled { from, pulled };
             let _ = events.send(event).await;
         });
     }
 
+    fn puller(&self, now_ms: u64) -> gateway::Puller {
+        let role = self.members.reader_role(now_ms);
+        let has_state = self.shared.snapshot.load().is_complete();
+        if role.is_reader || (role.is_seed && !has_state) {
+            gateway::Puller::Reader
+        } else if has_state {
+            gateway::Puller::Updating
+        } else {
+            gateway::Puller::Starting
+        }
+    }
+
+    /// Sends this VM's summary to a VM whose state is older or less fresh.
+    ///
+    /// A VM that has just started so finds a source without waiting for an
+    /// announcement. In a large region, the confirmations of the readers reach each
+    /// VM before it takes its state for stale and reads the store itself.
+    fn reply_to_older_summary(
+        &self,
+        now_ms: u64,
+        to: net::SocketAddr,
+        summary: &gateway::StateSummary,
+    ) {
+        let own = self.cache().summary(now_ms);
+        if own.is_newer_than(summary) || own.is_fresher_than(summary) {
+            let reply = gateway::FleetMessage::StateSummaryReply(own);
+            self.datagrams.send(&reply, to);
+        }
+    }
+
     /// Applies the state that was pulled from another entry VM.
     fn handle_pulled_state(
         &mut self,
         from: net::SocketAddr,
-        pulled: Result<Option<Box<fleet_service::PulledState>>, String>,
+        pulled: Result<Box<fleet_service::PulledState>, String>,
     ) {
         self.pulls.end_pull(pulled.is_ok());
         let state = match pulled {
-            Ok(Some(state)) => *state,
-            Ok(None) => return,
+            Ok(state) => *state,
             Err(error) => {
                 self.shared.metrics.counters.add("fleet.pull-failed");
                 let decision_log = &self.shared.decision_log;
@@ -387,12 +432,13 @@
         let source = format!("peer={from}");
         let (changes, updated_configuration, is_registry_known) = {
             let mut cache = self.cache();
-            let next_offset = state.registry_next_offset;
-            let full_table_revision = state.is_complete.then_some(state.summary.registry_revision);
-            let changes =
-                cache
-                    .backends
-                    .merge(now_ms, state.rows, full_table_revision, next_offset);
+            let update = gateway::TableUpdate {
+                is_complete: state.is_complete,
+                next_offset: state.registry_next_offset,
+                revision: state.summary.registry_revision,
+                rows: state.rows,
+            };
+            let changes = cache.backends.merge(now_ms, update);
             cache.confirm_from_peer(now_ms, &state.summary);
             let update = state.configuration_change.as_ref();
             let update = update.zip(cache.routes());
@@ -483,10 +529,8 @@
 
     fn send_summary(&self, receivers: &[net::SocketAddr]) {
         let summary = self.cache().summary(self.shared.now_ms());
-        for receiver in receivers {
-            self.datagrams
-                .send(&gateway::FleetMessage::StateSummary(summary), *receiver);
-        }
+        let message = gateway::FleetMessage::StateSummary(summary);
+        self.datagrams.send_to_all(&message, receivers);
     }
 
     /// Sends this VM's load report to the region's VMs. An empty report is not
@@ -503,15 +547,14 @@
     /// Sends a message to the VMs that serve this region's requests. Summaries of
     /// requests that crash servers are sent to all VMs.
     fn send_to_region(&self, message: &gateway::FleetMessage) {
-        let receivers = if matches!(message, gateway::FleetMessage::Quarantine(_)) {
-            let peers = self.members.peers().iter();
-            peers.map(|peer| peer.address).collect()
-        } else {
-            self.members.advertised_region_peers()
-        };
-        for receiver in receivers {
-            self.datagrams.send(message, receiver);
-        }
+        let receivers: Vec<net::SocketAddr> =
+            if matches!(message, gateway::FleetMessage::Quarantine(_)) {
+                let peers = self.members.peers().iter();
+                peers.map(|peer| peer.address).collect()
+            } else {
+                self.members.advertised_region_peers()
+            };
+        self.datagrams.send_to_all(message, &receivers);
     }
 }
 
--- a/src/gateway/control_thread/control_event.rs
+++ b/src/gateway/control_thread/control_event.rs
@@ -34,8 +34,8 @@
     Pulled {
         /// Address of the peer.
         from: net::SocketAddr,
-        /// State returned by the peer, `None` if it returned none, or the error.
-        pulled: Result<Option<Box<fleet_service::PulledState>>, String>,
+        /// State returned by the peer, or the error.
+        pulled: Result<Box<fleet_service::PulledState>, String>,
     },
     /// The settings were reloaded and list these seeds.
     SeedsChanged(Vec<net::SocketAddr>),
--- a/src/gateway/control_thread/fleet_message.rs
+++ b/src/gateway/control_thread/fleet_message.rs
@@ -4,6 +4,10 @@
 use crate::health;
 use crate::membership;
 
+/// Difference of the ages of two states, in milliseconds, from which on the fresher
+/// one is worth a reply.
+const MIN_FRESHER_MS: u64 = 300;
+
 /// Datagram between entry VMs. Any datagram may be lost.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub enum FleetMessage {
@@ -26,6 +30,8 @@
     StateSummary(StateSummary),
     /// Summary of a request that crashes servers.
     Quarantine(health::QuarantineSummary),
+    /// Reply to a state summary that is older than the sender's.
+    StateSummaryReply(StateSummary),
 }
 
 /// Versions and age of an entry VM's copy of the store.
@@ -45,3 +51,26 @@
     /// Whether a read of the store by the sender has failed recently.
     pub store_fails: bool,
 }
+
+impl StateSummary {
+    /// Returns whether this state includes a newer configuration or registry than
+    /// `other`.
+    #[must_use]
+    pub const fn is_newer_than(&self, other: &Self) -> bool {
+        self.configuration_version > other.configuration_version
+            || self.registry_revision > other.registry_revision
+    }
+
+    /// Returns whether the configuration or the registry was confirmed as the newest
+    /// much later than that of `other`, or whether `other` lacks it.
+    #[must_use]
+    pub fn is_fresher_than(&self, other: &Self) -> bool {
+        let is_fresher = |own: Option<u64>, other: Option<u64>| {
+            own.is_some_and(|own_ms| {
+                other.is_none_or(|other_ms| own_ms + MIN_FRESHER_MS <= other_ms)
+            })
+        };
+        is_fresher(self.configuration_age_ms, other.configuration_age_ms)
+            || is_fresher(self.registry_age_ms, other.registry_age_ms)
+    }
+}
--- a/src/gateway/control_thread/members.rs
+++ b/src/gateway/control_thread/members.rs
@@ -5,6 +5,7 @@
 use std::sync;
 
 use rand::seq::IndexedRandom as _;
+use rand::seq::IteratorRandom as _;
 
 use crate::balancing;
 use crate::gateway;
@@ -18,6 +19,8 @@
 const FAILURE_RETENTION_MS: u64 = 3_000;
 /// Number of VMs notified when this VM cannot read the store.
 const STANDBY_READER_COUNT: usize = 8;
+/// Number of peers that a VM without any state asks for it at the same time.
+const STATE_SOURCE_COUNT: usize = 2;
 
 /// View of the other entry VMs, based on the membership protocol.
 pub struct Members {
@@ -103,29 +106,54 @@
         }
     }
 
-    /// Returns whether this VM reads the store on behalf of its region.
+    /// Returns the part of this VM in the reads of the store.
     ///
     /// The readers are the highest-ranked VMs of the region, without those that
     /// have reported failed reads.
-    pub fn is_reader(&self, now_ms: u64) -> bool {
+    pub fn reader_role(&self, now_ms: u64) -> gateway::ReaderRole {
         let identity = &self.shared.identity;
         let own = reader_rank(identity.peer_address);
         let preferred = self.peers.iter().filter(|peer| {
-            let failing_until_ms = self.failing_until_ms.get(&peer.address);
             peer.region == identity.region
                 && peer.state == membership::MemberState::Alive
-                && failing_until_ms.is_none_or(|until_ms| *until_ms <= now_ms)
                 && reader_rank(peer.address) > own
         });
-        preferred.count() < self.shared.config.store_readers_per_region
+        let (mut preferred_count, mut readable_count) = (0, 0);
+        for peer in preferred {
+            let failing_until_ms = self.failing_until_ms.get(&peer.address);
+            let can_read = failing_until_ms.is_none_or(|until_ms| *until_ms <= now_ms);
+            preferred_count += 1;
+            readable_count += u64::from(can_read);
+        }
+        let is_seed = identity.seeds.contains(&identity.peer_address);
+        let reader_count = self.shared.config.store_readers_per_region as u64;
+        gateway::ReaderRole::new(
+            now_ms,
+            is_seed,
+            preferred_count,
+            readable_count,
+            reader_count,
+        )
     }
 
-    /// Returns whether a VM is in this VM's region. A VM that is not known yet
-    /// counts as being in the region.
+    /// Returns whether a VM is known to be in this VM's region.
     pub fn is_in_own_region(&self, vm: net::SocketAddr) -> bool {
         let region = &self.shared.identity.region;
         let peer = self.peers.iter().find(|peer| peer.address == vm);
-        peer.is_none_or(|peer| peer.region == *region)
+        peer.is_some_and(|peer| peer.region == *region)
+    }
+
+    /// Returns the VMs that a VM without any state asks for it: random peers of its
+    /// region, and a random seed while it knows few of them.
+    pub fn state_sources(&self) -> Vec<net::SocketAddr> {
+        let mut sources = self.random_peers(STATE_SOURCE_COUNT, true);
+        if sources.len() < STATE_SOURCE_COUNT {
+            let identity = &self.shared.identity;
+            let seeds = identity.seeds.iter();
+            let seeds = seeds.filter(|seed| **seed != identity.peer_address);
+            sources.extend(seeds.choose(&mut rand::rng()));
+        }
+        sources
     }
 
     /// Returns the highest-ranked other VMs of the region, which read the store
--- a/src/gateway/control_thread/store_cache.rs
+++ b/src/gateway/control_thread/store_cache.rs
@@ -136,7 +136,8 @@
         &self,
         registry_revision: u64,
         configuration_version: u64,
-    ) -> Option<fleet_service::PulledState> {
+        max_rows: usize,
+    ) -> fleet_service::PulledState {
         let cache = self.0.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let routes = cache.routes.as_ref();
         let newer = routes.filter(|routes| routes.configuration.version > configuration_version);
@@ -144,16 +145,35 @@
         let is_complete = cache.backends.needs_full_table(registry_revision);
         let since = if is_complete { 0 } else { registry_revision };
         let now_ms = cache.clock.now_ms();
-        let rows = cache.backends.rows_since(now_ms, since);
-        Some(fleet_service::PulledState {
+        let rows = cache.backends.rows_since(now_ms, since, None, max_rows);
+        fleet_service::PulledState {
             configuration: newer
                 .filter(|_| change.is_none())
                 .map(|routes| routes.configuration.as_ref().clone()),
             configuration_change: change,
+            has_more_rows: rows.len() == max_rows,
             is_complete,
             summary: cache.summary(now_ms),
             registry_next_offset: cache.backends.next_offset().unwrap_or(0),
-            rows: rows.map(|(key, row)| (key.clone(), row)).collect(),
-        })
+            rows,
+        }
+    }
+
+    fn rows_after(
+        &self,
+        registry_revision: u64,
+        after_key: &str,
+        max_rows: usize,
+    ) -> fleet_service::PulledRows {
+        let cache = self.0.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let now_ms = cache.clock.now_ms();
+        let after_key = Some(after_key);
+        let rows = cache
+            .backends
+            .rows_since(now_ms, registry_revision, after_key, max_rows);
+        fleet_service::PulledRows {
+            has_more_rows: rows.len() == max_rows,
+            rows,
+        }
     }
 }
--- a/src/gateway/control_thread/store_reads.rs
+++ b/src/gateway/control_thread/store_reads.rs
@@ -15,6 +15,8 @@
 /// Upper bound of the random delay, in milliseconds, by which VMs that are not
 /// readers wait for the readers' updates before they read the store themselves.
 const MAX_JITTER_MS: u64 = 120;
+/// Pause before a page of a full read is read again after a failure.
+const PAGE_RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
 /// Scheduler of the reads of the platform's store.
 pub struct StoreReads {
@@ -104,13 +106,14 @@
     }
 
     /// Starts the reads that are due. Their results arrive as control events.
-    pub fn start_due(&mut self, now_ms: u64, is_reader: bool, cache: &store_cache::StoreCache) {
+    pub fn start_due(
+        &mut self,
+        now_ms: u64,
+        role: gateway::ReaderRole,
+        cache: &store_cache::StoreCache,
+    ) {
         let confirmed_ms = cache.backends.confirmed_ms();
-        if self
-            .backends
-            .schedule
-            .is_due(now_ms, is_reader, confirmed_ms)
-        {
+        if self.backends.schedule.is_due(now_ms, role, confirmed_ms) {
             self.backends.schedule.begin_read();
             let from = cache.backends.next_offset();
             self.start_registry_read(from.filter(|_| !self.backends.needs_full_read));
@@ -119,7 +122,7 @@
         if self
             .configuration
             .schedule
-            .is_due(now_ms, is_reader, confirmed_ms)
+            .is_due(now_ms, role, confirmed_ms)
         {
             self.configuration.schedule.begin_read();
             let from = cache.configuration_next_offset;
@@ -127,6 +130,12 @@
         }
     }
 
+    /// Records that a peer has newer state than this VM.
+    pub const fn record_source(&mut self, now_ms: u64) {
+        self.backends.schedule.record_source(now_ms);
+        self.configuration.schedule.record_source(now_ms);
+    }
+
     /// Records that the complete registry was pulled from a peer, so that the
     /// next read starts at an offset.
     pub const fn mark_registry_complete(&mut self) {
@@ -154,7 +163,7 @@
         let events = self.events.clone();
         self.shared.metrics.counters.add("store.registry-read");
         tokio::spawn(async move {
-            let read = with_timeout(timeout + wait, read(feed.as_ref(), from, wait)).await;
+            let read = read(feed.as_ref(), from, wait, timeout).await;
             let is_full_read = from.is_none();
             let event = control_event::ControlEvent::BackendsRead { is_full_read, read };
             let _ = events.send(event).await;
@@ -168,21 +177,45 @@
         let events = self.events.clone();
         self.shared.metrics.counters.add("store.configuration-read");
         tokio::spawn(async move {
-            let read = with_timeout(timeout + wait, read(feed.as_ref(), from, wait)).await;
+            let read = read(feed.as_ref(), from, wait, timeout).await;
             let event = control_event::ControlEvent::ConfigurationRead { read };
             let _ = events.send(event).await;
         });
     }
 }
 
+/// Reads the changes since `from`, waiting up to `wait` for the first one, or the
+/// newest record of each key if `from` is `None`. Each call to the store takes at
+/// most `timeout`, not counting its wait.
 async fn read<T>(
     feed: &dyn ports::ChangeFeed<T>,
     from: Option<u64>,
     wait: time::Duration,
+    timeout: time::Duration,
 ) -> Result<ports::FeedPage<T>, ports::StoreError> {
     match from {
-        Some(from) => feed.changes(from, wait).await,
-        None => feed.newest().await,
+        Some(from) => with_timeout(timeout + wait, feed.changes(from, wait)).await,
+        None => read_newest(feed, timeout).await,
+    }
+}
+
+async fn read_newest<T>(
+    feed: &dyn ports::ChangeFeed<T>,
+    timeout: time::Duration,
+) -> Result<ports::FeedPage<T>, ports::StoreError> {
+    let mut full_read = gateway::FullRead::default();
+    loop {
+        match with_timeout(timeout, feed.newest(full_read.after_key())).await {
+            Ok(page) => {
+                if let Some(complete) = full_read.add_page(page)? {
+                    return Ok(complete);
+                }
+            }
+            Err(error) if full_read.record_failure(&error) => {
+                tokio::time::sleep(PAGE_RETRY_PAUSE).await;
+            }
+            Err(error) => return Err(error),
+        }
     }
 }
 
--- a/src/gateway/pull_schedule.rs
+++ b/src/gateway/pull_schedule.rs
@@ -6,6 +6,11 @@
 /// Newer state spreads within a region in three rounds of announcements, each a
 /// quarter of this time.
 const CROSS_REGION_WAIT_MS: u64 = 600;
+/// The same wait of a VM that has no state yet, in milliseconds.
+///
+/// The readers of a region read the complete state first, and it is the largest
+/// transfer of all.
+const FIRST_CROSS_REGION_WAIT_MS: u64 = 2_500;
 
 /// Decides from which entry VM this VM pulls newer state, and when.
 ///
@@ -14,7 +19,7 @@
 /// pulled from that region, the link between the regions would be saturated for
 /// seconds, and no VM would get the configuration in time. Therefore, a few VMs
 /// pull from the other region, and the other VMs wait until they can pull from
-/// these.
+/// these. The same holds for the complete state of a large fleet that starts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PullSchedule {
     behind_since_ms: Option<u64>,
@@ -28,9 +33,20 @@
     pub is_newer: bool,
     /// Whether the sender is in this VM's region.
     pub is_same_region: bool,
-    /// Whether this VM may pull from another region without waiting, because it
-    /// reads the store for its region or has no configuration yet.
-    pub can_pull_across_regions: bool,
+    /// Part of this VM in getting new state.
+    pub puller: Puller,
+}
+
+/// Part of a VM in getting new state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Puller {
+    /// The VM reads the store for its region, or is the seed from which others pull,
+    /// and so may pull from another region without waiting.
+    Reader,
+    /// The VM has no configuration or no registry yet.
+    Starting,
+    /// The VM has an earlier state.
+    Updating,
 }
 
 impl PullSchedule {
@@ -43,9 +59,13 @@
             return false;
         }
         let behind_since_ms = *self.behind_since_ms.get_or_insert(now_ms);
-        let has_waited = now_ms >= behind_since_ms + CROSS_REGION_WAIT_MS;
-        let should_pull = !self.is_pulling
-            && (candidate.is_same_region || candidate.can_pull_across_regions || has_waited);
+        let wait_ms = match candidate.puller {
+            Puller::Reader => 0,
+            Puller::Starting => FIRST_CROSS_REGION_WAIT_MS,
+            Puller::Updating => CROSS_REGION_WAIT_MS,
+        };
+        let has_waited = now_ms >= behind_since_ms + wait_ms;
+        let should_pull = !self.is_pulling && (candidate.is_same_region || has_waited);
         self.is_pulling |= should_pull;
         should_pull
     }
--- a/src/ports/backend.rs
+++ b/src/ports/backend.rs
@@ -8,7 +8,7 @@
 
 /// One incarnation of a backend server, as registered in the store: one run of
 /// its process.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Backend {
     /// Address that accepts requests.
     pub address: net::SocketAddr,
--- a/src/ports/change_feed.rs
+++ b/src/ports/change_feed.rs
@@ -26,10 +26,14 @@
         wait: time::Duration,
     ) -> BoxFuture<'_, Result<ports::FeedPage<T>, ports::StoreError>>;
 
-    /// Returns the newest record of each key.
+    /// Returns the page of the newest records that begins after `after_key`, or the
+    /// first page if `None`.
     ///
     /// # Errors
     ///
     /// Returns an error if the store cannot be read.
-    fn newest(&self) -> BoxFuture<'_, Result<ports::FeedPage<T>, ports::StoreError>>;
+    fn newest(
+        &self,
+        after_key: Option<String>,
+    ) -> BoxFuture<'_, Result<ports::NewestPage<T>, ports::StoreError>>;
 }
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -5,6 +5,7 @@
 //! or format of a particular platform.
 
 mod backend;
+mod backend_serde;
 mod backend_state;
 mod change_feed;
 mod configuration_change;
@@ -12,6 +13,7 @@
 mod feed_page;
 mod fleet_configuration;
 mod header_names;
+mod newest_page;
 mod request_kind;
 mod request_limits;
 mod route;
@@ -26,6 +28,7 @@
 pub use feed_page::{FeedEntry, FeedPage};
 pub use fleet_configuration::FleetConfiguration;
 pub use header_names::HeaderNames;
+pub use newest_page::NewestPage;
 pub use request_kind::RequestKind;
 pub use request_limits::RequestLimits;
 pub use route::{Route, RouteTarget};
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,10 +4,14 @@
 mod backend_pool;
 #[path = "gateway/budget_random.rs"]
 mod budget_random;
+#[path = "gateway/cold_start.rs"]
+mod cold_start;
 #[path = "gateway/entry_points.rs"]
 mod entry_points;
 #[path = "gateway/fixtures.rs"]
 mod fixtures;
+#[path = "gateway/full_read.rs"]
+mod full_read;
 #[path = "gateway/pull_schedule.rs"]
 mod pull_schedule;
 #[path = "gateway/read_schedule.rs"]
--- a/tests/gateway/pull_schedule.rs
+++ b/tests/gateway/pull_schedule.rs
@@ -3,9 +3,9 @@
 use foxtailwinch::gateway;
 
 const OTHER_REGION: gateway::PullCandidate = gateway::PullCandidate {
-    can_pull_across_regions: false,
-    is_same_region: false,
     is_newer: true,
+    is_same_region: false,
+    puller: gateway::Puller::Updating,
 };
 const SAME_REGION: gateway::PullCandidate = gateway::PullCandidate {
     is_same_region: true,
@@ -32,7 +32,7 @@
 fn store_reader_pulls_from_another_region_at_once() {
     let mut pulls = gateway::PullSchedule::default();
     let reader = gateway::PullCandidate {
-        can_pull_across_regions: true,
+        puller: gateway::Puller::Reader,
         ..OTHER_REGION
     };
     assert!(pulls.try_begin(0, reader));
@@ -78,3 +78,18 @@
     };
     assert!(!pulls.try_begin(0, known));
 }
+
+/// Guards against a link between regions that carries the complete registry once for
+/// each VM of a fleet that starts: 150 VMs pulled 3,000 servers each from the other
+/// region while the readers of their own region were still reading them.
+#[test]
+fn vm_without_state_leaves_the_readers_of_its_region_time_to_read_it() {
+    let mut pulls = gateway::PullSchedule::default();
+    let starting = gateway::PullCandidate {
+        puller: gateway::Puller::Starting,
+        ..OTHER_REGION
+    };
+    assert!(!pulls.try_begin(0, starting));
+    assert!(!pulls.try_begin(2_400, starting));
+    assert!(pulls.try_begin(2_500, starting), "the region has no source");
+}
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -9,15 +9,13 @@
 fn pull(now_ms: u64, to: &mut gateway::BackendTable, from: &gateway::BackendTable) {
     let needs_full_table = from.needs_full_table(to.revision());
     let since = if needs_full_table { 0 } else { to.revision() };
-    let rows = from.rows_since(now_ms, since);
-    let rows = rows.map(|(key, row)| (key.clone(), row)).collect();
-    let full_table_revision = needs_full_table.then_some(from.revision());
-    to.merge(
-        now_ms,
-        rows,
-        full_table_revision,
-        from.next_offset().unwrap_or(0),
-    );
+    let update = gateway::TableUpdate {
+        is_complete: needs_full_table,
+        next_offset: from.next_offset().unwrap_or(0),
+        revision: from.revision(),
+        rows: from.rows_since(now_ms, since, None, usize::MAX),
+    };
+    to.merge(now_ms, update);
 }
 
 /// Guards against a server at offset 0 that was missing on every VM that pulled
@@ -143,10 +141,14 @@
         fixtures::entry(3, "s2", Some(fixtures::backend("s2"))),
     ];
     without_outage.apply_changes(9_000, fixtures::page(all));
-    let rows = without_outage.rows_since(9_100, 0);
-    let rows = rows.map(|(key, row)| (key.clone(), row)).collect();
+    let update = gateway::TableUpdate {
+        is_complete: false,
+        next_offset: 4,
+        revision: without_outage.revision(),
+        rows: without_outage.rows_since(9_100, 0, None, usize::MAX),
+    };
 
-    reader.merge(9_100, rows, None, 4);
+    reader.merge(9_100, update);
 
     assert_eq!(fixtures::ids(&reader), ["s1", "s2"]);
 }
@@ -259,3 +261,37 @@
 
     assert_eq!(fixtures::ids(&other), ["s1"]);
 }
+
+/// Guards against a change that is lost because it was made while the rows were
+/// sent in several replies: the row of the last reply had a later revision than the
+/// change, and the VM never asked for it again.
+#[test]
+fn change_during_a_pull_in_several_replies_is_pulled_next() {
+    let mut source = gateway::BackendTable::default();
+    let ids = ["s0", "s1", "s2", "s3"];
+    let records = (0..).zip(ids);
+    let records =
+        records.map(|(offset, id)| fixtures::entry(offset, id, Some(fixtures::backend(id))));
+    source.apply_changes(0, fixtures::page(records.collect()));
+    let mut other = gateway::BackendTable::default();
+
+    let revision = source.revision();
+    let mut rows = source.rows_since(0, 0, None, 2);
+    assert_eq!(rows.keys().collect::<Vec<_>>(), ["s0", "s1"]);
+    let removal = fixtures::entry(4, "s0", None);
+    let replacement = fixtures::entry(5, "s4", Some(fixtures::backend("s4")));
+    source.apply_changes(0, fixtures::page(vec![removal, replacement]));
+    rows.extend(source.rows_since(0, 0, Some("s1"), 10));
+    let update = gateway::TableUpdate {
+        is_complete: false,
+        next_offset: 4,
+        revision,
+        rows,
+    };
+    other.merge(0, update);
+    assert_eq!(fixtures::ids(&other), ["s0", "s1", "s2", "s3", "s4"]);
+
+    pull(0, &mut other, &source);
+
+    assert_eq!(fixtures::ids(&other), ["s1", "s2", "s3", "s4"]);
+}
--- a/tests/gateway/registry_random.rs
+++ b/tests/gateway/registry_random.rs
@@ -92,6 +92,13 @@
     registered
 }
 
+/// Whether the source of a pull applies changes between its replies.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Source {
+    Changing,
+    Unchanged,
+}
+
 struct Simulation {
     log: Log,
     now_ms: u64,
@@ -125,7 +132,7 @@
                     self.random.random_range(0..VMS),
                     self.random.random_range(0..VMS),
                 );
-                self.pull(to, from);
+                self.pull(to, from, Source::Changing);
             }
             85..90 => self.log.is_up = !self.log.is_up,
             90..93 => self.log.first_offset = self.log.end_offset(),
@@ -179,20 +186,38 @@
         }
     }
 
-    fn pull(&mut self, to: usize, from: usize) {
+    fn pull(&mut self, to: usize, from: usize, source_state: Source) {
         let revision = self.vms[to].revision();
         if to == from || self.vms[from].revision() <= revision {
             return;
         }
         let source = &self.vms[from];
         let needs_full_table = source.needs_full_table(revision);
-        let rows = source.rows_since(self.now_ms, if needs_full_table { 0 } else { revision });
-        let rows = rows.map(|(key, row)| (key.clone(), row)).collect();
-        let next_offset = source.next_offset().unwrap_or(0);
+        let since = if needs_full_table { 0 } else { revision };
         let confirmed_ms = source.confirmed_ms();
-        let full_table_revision = needs_full_table.then_some(source.revision());
+        let mut update = gateway::TableUpdate {
+            is_complete: needs_full_table,
+            next_offset: source.next_offset().unwrap_or(0),
+            revision: source.revision(),
+            rows: indexmap::IndexMap::new(),
+        };
+        loop {
+            let last_key = update.rows.keys().next_back().cloned();
+            let max_count = self.random.random_range(1..=8);
+            let source = &self.vms[from];
+            let rows = source.rows_since(self.now_ms, since, last_key.as_deref(), max_count);
+            let is_last = rows.len() < max_count;
+            update.rows.extend(rows);
+            if is_last {
+                break;
+            }
+            if source_state == Source::Changing {
+                self.append();
+                self.read(from);
+            }
+        }
         let table = &mut self.vms[to];
-        table.merge(self.now_ms, rows, full_table_revision, next_offset);
+        table.merge(self.now_ms, update);
         if let Some(confirmed_ms) = confirmed_ms {
             table.confirm(self.now_ms, confirmed_ms);
         }
@@ -262,7 +287,7 @@
         }
         simulation.recover_store(1);
         for vm in 1..VMS {
-            simulation.pull(vm, vm - 1);
+            simulation.pull(vm, vm - 1, Source::Unchanged);
             let known = sorted(simulation.vms[vm].backends().map(AsRef::as_ref));
             assert_eq!(known, simulation.log.registered(), "seed {seed}, VM {vm}");
         }
