--- a/src/membership/anti_entropy.rs
+++ b/src/membership/anti_entropy.rs
@@ -8,8 +8,10 @@
 use crate::membership::member_table;
 use crate::membership::membership_core;
 
-/// Number of comparisons with a peer in the first periods after the start.
-const START_REPAIR_COUNT: u32 = 8;
+/// Number of comparisons with a random member right after the start.
+const START_COMPARISON_COUNT: u32 = 16;
+/// Time between two comparisons right after the start, in milliseconds.
+const START_COMPARISON_INTERVAL_MS: u64 = 250;
 /// Share of the occupied buckets that differ in two lists from which on the
 /// complete list is transferred, as a divisor.
 const FAR_APART_DIVISOR: usize = 4;
@@ -41,18 +43,27 @@
         }
     }
 
-    /// Sets the time of the next comparison of the member list with a peer.
-    ///
-    /// A VM that has just started compares it in each period.
-    pub(super) fn schedule_repair(&mut self) {
-        let is_starting = self.start_repair_count < START_REPAIR_COUNT;
-        self.start_repair_count += u32::from(is_starting);
-        let period_ms = if is_starting {
-            self.config.probe_period_ms
-        } else {
-            self.config.repair_period_ms
-        };
-        self.repair_due_ms = self.now_ms + period_ms;
+    /// Compares the member list with a random member if a comparison after the start
+    /// is due.
+    pub(super) fn compare_after_start(&mut self) {
+        if self.start_comparison_count >= START_COMPARISON_COUNT
+            || self.start_comparison_due_ms > self.now_ms
+        {
+            return;
+        }
+        if let Some(peer) = self.table.random_live(&mut self.rng) {
+            self.start_comparison_count += 1;
+            let digest = self.table.digest(&self.own_member.stamp());
+            self.ping(peer, Some(digest));
+        }
+        self.start_comparison_due_ms = self.now_ms + START_COMPARISON_INTERVAL_MS;
+    }
+
+    /// Returns when the next comparison after the start is due; `None` after the last
+    /// one.
+    pub(super) fn next_start_comparison_ms(&self) -> Option<u64> {
+        (self.start_comparison_count < START_COMPARISON_COUNT)
+            .then_some(self.start_comparison_due_ms)
     }
 
     pub(super) fn handle_sync_request(&mut self, from: net::SocketAddr, first_bucket: u16) {
@@ -112,7 +123,6 @@
         if is_far_apart(&own_digests, peer_digests) {
             let first_bucket = 0;
             self.sync_next_bucket = Some(first_bucket);
-            self.repair_due_ms = self.now_ms;
             let body = membership::MessageBody::SyncRequest { first_bucket };
             self.send_with(from, body, Vec::new());
             return;
--- a/src/membership/membership_core.rs
+++ b/src/membership/membership_core.rs
@@ -32,8 +32,9 @@
     pub(super) relays: indexmap::IndexMap<u64, Relay>,
     pub(super) repair_due_ms: u64,
     pub(super) rng: rand::rngs::SmallRng,
-    /// Number of comparisons with a peer in the first periods, up to a limit.
-    pub(super) start_repair_count: u32,
+    /// Number of comparisons with a peer right after the start.
+    pub(super) start_comparison_count: u32,
+    pub(super) start_comparison_due_ms: u64,
     /// First bucket still to be fetched after the start; `None` when complete.
     pub(super) sync_next_bucket: Option<u16>,
     pub(super) table: member_table::MemberTable,
@@ -88,7 +89,8 @@
             relays: indexmap::IndexMap::new(),
             repair_due_ms: 0,
             rng,
-            start_repair_count: 0,
+            start_comparison_count: 0,
+            start_comparison_due_ms: 0,
             sync_next_bucket: Some(0),
             table: member_table::MemberTable::new(),
         }
@@ -105,7 +107,8 @@
     pub fn next_wakeup_ms(&self) -> Option<u64> {
         let indirect_ms = self.probe.and_then(|probe| probe.indirect_due_ms);
         let expiry_ms = self.expiries.first().map(|(due_ms, _)| *due_ms);
-        [self.period_due_ms, indirect_ms, expiry_ms]
+        let comparison_ms = self.next_start_comparison_ms();
+        [self.period_due_ms, indirect_ms, expiry_ms, comparison_ms]
             .into_iter()
             .flatten()
             .min()
--- a/src/membership/probing.rs
+++ b/src/membership/probing.rs
@@ -30,6 +30,7 @@
         };
         self.expire();
         self.send_ping_requests();
+        self.compare_after_start();
         if due_ms <= self.now_ms {
             self.period_due_ms = Some(self.now_ms + period_ms);
             self.finish_probe();
@@ -116,7 +117,7 @@
         let is_repair_due = self.repair_due_ms <= self.now_ms;
         let digest = is_repair_due.then(|| self.table.digest(&self.own_member.stamp()));
         if is_repair_due {
-            self.schedule_repair();
+            self.repair_due_ms = self.now_ms + self.config.repair_period_ms;
         }
         let seq = self.ping(target, digest);
         self.probe = Some(membership_core::Probe {
@@ -184,7 +185,7 @@
         }
     }
 
-    fn ping(&mut self, target: net::SocketAddr, digest: Option<u64>) -> u64 {
+    pub(super) fn ping(&mut self, target: net::SocketAddr, digest: Option<u64>) -> u64 {
         let seq = self.next_seq;
         self.next_seq += 1;
         self.send(target, membership::MessageBody::Ping { digest, seq });
