Bound what a faulty response can hold up, and take fewer responses for proof

Cause, each shown by a test that failed before: - a refusal's body was read to the request's deadline before the request went on (refusal_without_end_does_not_hold_the_request: 503 instead of 200); - a refusal without an id counted as proof also on a connection in use again, where it may belong to an earlier request (late_refusal_without_an_id_is_no_proof: a request that may run once ran twice); - a large body was passed on without any bound (body_without_end_is_broken_off_at_the_deadline, body_that_stops_halfway_is_broken_off: no end within 3.5 s); - Keep-Alive: timeout= near 2^64 overflowed (absurd_idle_time_of_a_server_is_accepted: panic).

Change: the request goes on at once, and the connection is read beside it for 200 ms and 16 KB; a refusal without an id counts only as the first response of a connection; a body that is passed on ends with an error at the caller's deadline or after a pause of 2 s, and counts as a failure of the server; the arithmetic saturates.

Tests that passed before as well: second copies of responses, cut bodies, heads without end.

--- a/src/gateway/traffic_thread/attempt.rs
+++ b/src/gateway/traffic_thread/attempt.rs
@@ -16,6 +16,14 @@
 /// sends no `Keep-Alive: timeout=`.
 const DEFAULT_IDLE_MS: u64 = 3_000;
 
+/// Time for which the rest of a refusal is read, so that its connection can be used
+/// again.
+const REFUSAL_DRAIN_TIME: time::Duration = time::Duration::from_millis(200);
+/// Maximum size of a refusal that is read for the same purpose, in bytes.
+const REFUSAL_DRAIN_LIMIT_BYTES: usize = 16_384;
+/// Longest pause within the body of a response that is passed on while it arrives.
+const STREAM_STALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
 /// Outcome of one attempt.
 pub enum AttemptOutcome {
     /// The server responded. The body is complete, or streamed if it is large.
@@ -72,7 +80,7 @@
     choice: &gateway::Choice,
     body: http1::RequestBody,
 ) -> AttemptOutcome {
-    let Some(mut connection) = connect(shared, routed, choice).await else {
+    let Some((mut connection, is_new)) = connect(shared, routed, choice).await else {
         shared
             .backend_pool()
             .record_unreachable(shared.now_ms(), choice.incarnation);
@@ -94,16 +102,40 @@
             return AttemptOutcome::Failed(AttemptFailure::unanswered(reason));
         }
     };
+    if is_refusal(shared, routed, &head, is_new) {
+        return handle_server_refusal(shared, choice, connection, head);
+    }
     read_response(shared, routed, choice, connection, head).await
 }
 
+/// Returns whether a response states that the server did not run this request.
+///
+/// A server may send a further response late, on a connection that is in use again.
+/// Such a refusal without an id may belong to an earlier request, so it is no proof
+/// for this one.
+fn is_refusal(
+    shared: &gateway::Shared,
+    routed: &routed_request::RoutedRequest<'_>,
+    head: &http::Response<hyper::body::Incoming>,
+    is_first_response: bool,
+) -> bool {
+    let is_not_run = head.headers().contains_key(&shared.headers.not_run)
+        || head.status() == http::StatusCode::MISDIRECTED_REQUEST;
+    let is_own = match head.headers().get(&shared.headers.request_id) {
+        Some(echoed) => echoed.as_bytes() == routed.request_id.as_bytes(),
+        None => is_first_response,
+    };
+    is_not_run && is_own
+}
+
+/// Returns a connection to the server, and whether it is a new one.
 async fn connect(
     shared: &gateway::Shared,
     routed: &routed_request::RoutedRequest<'_>,
     choice: &gateway::Choice,
-) -> Option<http1::ClientConnection> {
+) -> Option<(http1::ClientConnection, bool)> {
     if let Some(connection) = shared.connections.take(choice.incarnation) {
-        return Some(connection);
+        return Some((connection, false));
     }
     let config = &shared.config;
     let timeout_ms = if choice.is_same_region {
@@ -118,7 +150,7 @@
     };
     shared.metrics.counters.add("server.connect");
     match http1::ClientConnection::open(choice.backend.address, &options).await {
-        Ok(connection) => Some(connection),
+        Ok(connection) => Some((connection, true)),
         Err(error) => {
             shared.metrics.counters.add("server.connect-failed");
             shared.decision_log.record("server.connect-failed", || {
@@ -166,11 +198,6 @@
     let echoed = head.headers().get(&header_names.request_id);
     let has_matching_id =
         echoed.is_some_and(|echoed| echoed.as_bytes() == routed.request_id.as_bytes());
-    let is_not_run = head.headers().contains_key(&header_names.not_run)
-        || head.status() == http::StatusCode::MISDIRECTED_REQUEST;
-    if is_not_run && (has_matching_id || echoed.is_none()) {
-        return handle_server_refusal(shared, routed, choice, connection, head).await;
-    }
     let is_signed = head.headers().contains_key(&header_names.signature);
     if !has_matching_id || (head.status().is_success() && !is_signed) {
         let reason = verdict::RefusalReason::AnswerMismatched;
@@ -203,29 +230,45 @@
         }
         // The remaining part of a large response is streamed. The connection
         // stays open as long as the body is in use and is not reused.
-        ReadBody::Partial(first) => streaming_body(first, body, connection),
+        ReadBody::Partial(first) => {
+            let stream = ResponseStream {
+                choice: choice.clone(),
+                connection,
+                deadline: routed.caller_deadline,
+                first: Some(first),
+                rest: body,
+                shared: sync::Arc::clone(shared),
+            };
+            stream.into_body()
+        }
     };
     AttemptOutcome::Answered(http::Response::from_parts(parts, body))
 }
 
-/// Handles a response that the server did not run the request. The connection is
-/// reused if the response is complete and the server is the expected one.
-async fn handle_server_refusal(
-    shared: &gateway::Shared,
-    routed: &routed_request::RoutedRequest<'_>,
+/// Handles a response that the server did not run the request.
+///
+/// The request goes on at once. The rest of the response is read beside it, for a
+/// short time, so that the connection can be used again: a faulty server may send a
+/// refusal's body slowly or without end.
+fn handle_server_refusal(
+    shared: &sync::Arc<gateway::Shared>,
     choice: &gateway::Choice,
     connection: http1::ClientConnection,
     head: http::Response<hyper::body::Incoming>,
 ) -> AttemptOutcome {
     let is_misdirected = head.status() == http::StatusCode::MISDIRECTED_REQUEST;
     let idle_time = idle_time(shared, head.headers()).filter(|_| !is_misdirected);
-    let mut body = head.into_body();
-    let limit_bytes = shared.config.buffered_body_limit_bytes;
-    let read = tokio::time::timeout_at(routed.deadline, read_body(&mut body, limit_bytes)).await;
-    if let (Ok(Ok(ReadBody::Complete(_))), Some(idle_time)) = (read, idle_time) {
-        shared
-            .connections
-            .put(choice.incarnation, connection, idle_time);
+    if let Some(idle_time) = idle_time {
+        let incarnation = choice.incarnation;
+        let shared = sync::Arc::clone(shared);
+        let mut body = head.into_body();
+        tokio::spawn(async move {
+            let read = read_body(&mut body, REFUSAL_DRAIN_LIMIT_BYTES);
+            let read = tokio::time::timeout(REFUSAL_DRAIN_TIME, read).await;
+            if let Ok(Ok(ReadBody::Complete(_))) = read {
+                shared.connections.put(incarnation, connection, idle_time);
+            }
+        });
     }
     let now_ms = shared.now_ms();
     if is_misdirected {
@@ -264,23 +307,61 @@
     Ok(ReadBody::Complete(bytes.freeze()))
 }
 
-/// Returns a body that streams `first`, followed by the remaining frames. It
-/// keeps the connection open until it is dropped.
-fn streaming_body(
-    first: bytes::Bytes,
-    rest: hyper::body::Incoming,
+/// Response of a server that is passed on while it arrives. Its connection stays open
+/// as long as the body is in use, and is not used again.
+///
+/// The body ends with an error, so that the caller does not take it for complete, if
+/// the server breaks it off, pauses for too long, or does not end it before the
+/// caller's deadline.
+struct ResponseStream {
+    choice: gateway::Choice,
     connection: http1::ClientConnection,
-) -> response::ResponseBody {
-    let state = (Some(first), rest, connection);
-    let frames = futures::stream::unfold(state, |(first, mut rest, connection)| async move {
-        if let Some(first) = first {
-            let frame = Ok(http_body::Frame::data(first));
-            return Some((frame, (None, rest, connection)));
+    deadline: tokio::time::Instant,
+    /// Part of the body that was read before the response was passed on.
+    first: Option<bytes::Bytes>,
+    rest: hyper::body::Incoming,
+    shared: sync::Arc<gateway::Shared>,
+}
+
+impl ResponseStream {
+    fn into_body(self) -> response::ResponseBody {
+        let frames = futures::stream::unfold(Some(self), |stream| async move {
+            let mut stream = stream?;
+            match stream.next_frame().await? {
+                Ok(frame) => Some((Ok(frame), Some(stream))),
+                // Dropping the stream closes the connection to the server.
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        http_body_util::StreamBody::new(frames).boxed_unsync()
+    }
+
+    async fn next_frame(&mut self) -> Option<Result<http_body::Frame<bytes::Bytes>, io::Error>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(http_body::Frame::data(first)));
         }
-        let frame = rest.frame().await?.map_err(io::Error::other);
-        Some((frame, (None, rest, connection)))
-    });
-    http_body_util::StreamBody::new(frames).boxed_unsync()
+        let stalled_at = tokio::time::Instant::now() + STREAM_STALL_TIMEOUT;
+        let frame = tokio::time::timeout_at(stalled_at.min(self.deadline), self.rest.frame()).await;
+        let error = match frame {
+            Ok(None) => return None,
+            Ok(Some(Ok(frame))) if tokio::time::Instant::now() < self.deadline => {
+                return Some(Ok(frame));
+            }
+            Ok(Some(Ok(_))) => io::Error::other("response body does not end before the deadline"),
+            Ok(Some(Err(error))) => io::Error::other(error),
+            Err(_) => io::Error::other("response body stalled"),
+        };
+        self.shared
+            .record_evidence(&self.choice, gateway::Evidence::Failure);
+        self.shared.metrics.counters.add("response.broken-off");
+        let decision_log = &self.shared.decision_log;
+        decision_log.record("response.broken-off", || {
+            let is_open = self.connection.is_open();
+            let server = &self.choice.backend.id;
+            format!("server={server} connection_open={is_open} error=\"{error}\"")
+        });
+        Some(Err(error))
+    }
 }
 
 /// Returns how long the connection may be kept idle; `None` if it must be closed.
@@ -303,7 +384,9 @@
     });
     let config = &shared.config;
     let idle_ms = advertised_s.map_or(DEFAULT_IDLE_MS, |advertised_s| {
-        (advertised_s * 1_000).saturating_sub(config.idle_connection_margin_ms)
+        advertised_s
+            .saturating_mul(1_000)
+            .saturating_sub(config.idle_connection_margin_ms)
     });
     let idle_ms = idle_ms.min(config.idle_connection_max_ms);
     (idle_ms > 0).then(|| time::Duration::from_millis(idle_ms))
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -34,6 +34,8 @@
 /// Retry delay sent to callers of a service without servers, in milliseconds.
 /// Servers register within two heartbeats.
 const NO_SERVER_RETRY_AFTER_MS: u64 = 700;
+/// Longest time for which a caller is expected to wait, in milliseconds.
+const MAX_CALLER_TIME_MS: u64 = 3_600_000;
 const MILLISECONDS_PER_S: f64 = 1_000.0;
 
 /// Serves a caller's request and returns the final response.
@@ -101,8 +103,10 @@
             0,
         ));
     };
-    let timeout_ms = requested_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-    let deadline = started_at + time::Duration::from_millis(timeout_ms);
+    let caller_time_ms = requested_ms.unwrap_or(route.timeout_ms);
+    let caller_time_ms = caller_time_ms.min(MAX_CALLER_TIME_MS);
+    let caller_deadline = started_at + time::Duration::from_millis(caller_time_ms);
+    let deadline = started_at + time::Duration::from_millis(caller_time_ms.min(route.timeout_ms));
     let max_body_bytes = routes.configuration.limits.max_body_bytes;
     let body = caller_body::read_body(shared, &head, body, max_body_bytes, deadline).await?;
     let random_weight = rand::random_range(0..route.total_weight());
@@ -115,6 +119,7 @@
         caller_body::CallerBody::Streamed(_) => None,
     };
     let request = routed_request::RoutedRequest {
+        caller_deadline,
         fingerprint,
         deadline,
         request_id,
--- a/src/gateway/traffic_thread/routed_request.rs
+++ b/src/gateway/traffic_thread/routed_request.rs
@@ -6,11 +6,14 @@
 
 /// Caller's request with its route and deadline.
 pub struct RoutedRequest<'a> {
+    /// Time until which the caller waits for the response.
+    pub caller_deadline: tokio::time::Instant,
     /// Hash of the path and the body; `None` if the body is not buffered.
     pub fingerprint: Option<u64>,
     /// Head as received from the caller.
     pub head: http::request::Parts,
-    /// Time by which the caller must have the response.
+    /// Time by which the caller must have the response: its own deadline, or the
+    /// route's if that is earlier.
     pub deadline: tokio::time::Instant,
     /// Id of the request, sent by the caller.
     pub request_id: &'a str,
--- a/src/http1/client_connection.rs
+++ b/src/http1/client_connection.rs
@@ -68,6 +68,12 @@
         self.sender.is_ready() && !self.sender.is_closed() && !self.driver.is_finished()
     }
 
+    /// Returns whether the server has not closed the connection.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sends a request and returns the response once its head has been
     /// received.
     ///
