Let requests wait for a confirmed registry after the process was paused

Cause: a VM that was stopped for some seconds went on with the registry that it had. In a new test, six requests that waited in its sockets were sent to a server that had drained during the pause (paused_vm_sends_nothing_to_a_server_that_left_meanwhile).

Change: a pause shows in the signs of life of the control thread, before the first decision after it. Requests then wait until a read that began after the pause, or a peer's message that did not wait in the socket, confirms the registry; at most 400 ms, so that an outage of the store stops nothing.

--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -137,9 +137,11 @@
 
     fn handle(&mut self, event: control_event::ControlEvent) {
         match event {
-            control_event::ControlEvent::BackendsRead { is_full_read, read } => {
-                self.handle_registry_read(is_full_read, read);
-            }
+            control_event::ControlEvent::BackendsRead {
+                begun_ms,
+                is_full_read,
+                read,
+            } => self.handle_registry_read(begun_ms, is_full_read, read),
             control_event::ControlEvent::ConfigurationRead { read } => {
                 self.handle_configuration_read(read);
             }
@@ -164,6 +166,11 @@
 
     fn tick(&mut self) {
         let now_ms = self.shared.now_ms();
+        self.shared.pause_detector().record_sign(now_ms);
+        if self.shared.pause_detector().must_wait(now_ms) {
+            self.shared.metrics.counters.add("process.state-outdated");
+            self.send_summary(&self.members.state_sources());
+        }
         if self.members.tick(now_ms) {
             self.publish();
         }
@@ -218,6 +225,7 @@
 
     fn handle_registry_read(
         &mut self,
+        begun_ms: u64,
         is_full_read: bool,
         read: Result<ports::FeedPage<ports::Backend>, ports::StoreError>,
     ) {
@@ -230,7 +238,10 @@
         let changes = {
             let mut cache = self.cache();
             if page.is_at_end {
-                cache.backends.confirm(now_ms, now_ms);
+                let pause_detector = self.shared.pause_detector();
+                let confirmed_ms = pause_detector.read_confirmed_ms(begun_ms, now_ms);
+                drop(pause_detector);
+                cache.backends.confirm(now_ms, confirmed_ms);
             }
             if is_full_read {
                 cache.backends.apply_newest(now_ms, page)
@@ -239,9 +250,19 @@
             }
         };
         self.apply_backend_changes(&changes, "store");
+        self.record_confirmation();
         self.publish_first_registry();
     }
 
+    /// Lets requests go on that wait after a pause if the registry was confirmed
+    /// since then.
+    fn record_confirmation(&self) {
+        if let Some(confirmed_ms) = self.cache().backends.confirmed_ms() {
+            let mut pause_detector = self.shared.pause_detector();
+            pause_detector.record_confirmation(confirmed_ms);
+        }
+    }
+
     fn handle_configuration_read(
         &mut self,
         read: Result<ports::FeedPage<ports::FleetConfiguration>, ports::StoreError>,
@@ -356,9 +377,12 @@
             if summary.store_fails {
                 cache.backends.record_read_failure(now_ms);
             }
-            cache.confirm_from_peer(now_ms, &summary);
+            if !self.shared.pause_detector().may_be_backlog(now_ms) {
+                cache.confirm_from_peer(now_ms, &summary);
+            }
             (cache.backends.revision(), cache.configuration_version())
         };
+        self.record_confirmation();
         let candidate = gateway::PullCandidate {
             is_newer: summary.configuration_version > version
                 || summary.registry_revision > registry_revision,
@@ -449,6 +473,7 @@
             self.reads.mark_registry_complete();
         }
         self.apply_backend_changes(&changes, &source);
+        self.record_confirmation();
         self.publish_first_registry();
         if let Some(configuration) = state.configuration.or(updated_configuration) {
             self.put_in_force(configuration, &source);
--- a/src/gateway/control_thread/control_event.rs
+++ b/src/gateway/control_thread/control_event.rs
@@ -10,6 +10,8 @@
 pub enum ControlEvent {
     /// A read of the registry has ended.
     BackendsRead {
+        /// When the read began, in milliseconds of the process clock.
+        begun_ms: u64,
         /// Whether the newest record of each key was read rather than the
         /// changes since an offset.
         is_full_read: bool,
--- a/src/gateway/control_thread/store_reads.rs
+++ b/src/gateway/control_thread/store_reads.rs
@@ -161,11 +161,16 @@
         let wait = self.shared.config.store_wait();
         let timeout = self.shared.config.store_call_timeout();
         let events = self.events.clone();
+        let begun_ms = self.shared.now_ms();
         self.shared.metrics.counters.add("store.registry-read");
         tokio::spawn(async move {
             let read = read(feed.as_ref(), from, wait, timeout).await;
             let is_full_read = from.is_none();
-            let event = control_event::ControlEvent::BackendsRead { is_full_read, read };
+            let event = control_event::ControlEvent::BackendsRead {
+                begun_ms,
+                is_full_read,
+                read,
+            };
             let _ = events.send(event).await;
         });
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -45,6 +45,8 @@
     pub metrics: gateway::Metrics,
     /// Messages from the traffic thread to other entry VMs.
     pub outbox: mpsc::Sender<gateway::FleetMessage>,
+    /// Detector of pauses of this process.
+    pub pause_detector: sync::Mutex<gateway::PauseDetector>,
     /// Quarantine of requests that crash servers.
     pub quarantine: sync::Mutex<health::Quarantine>,
     /// Retry budgets by service.
@@ -141,6 +143,13 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Locks and returns the detector of pauses of this process.
+    pub fn pause_detector(&self) -> sync::MutexGuard<'_, gateway::PauseDetector> {
+        self.pause_detector
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     /// Counts a request in the retry budget of its service.
     pub fn record_request(&self, service: &str) {
         let now_ms = self.now_ms();
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -105,6 +105,7 @@
     let min_share_permille = parts.bounds.min_share_permille;
     let suspicion = parts.config.suspicion.clone();
     let server_use = parts.config.server_use.clone();
+    let now_ms = parts.context.clock.now_ms();
     gateway::Shared {
         backend_pool: sync::Mutex::new(gateway::BackendPool::new(
             suspicion,
@@ -123,6 +124,7 @@
         decision_log: telemetry::DecisionLog::new(),
         metrics: gateway::Metrics::new(),
         outbox,
+        pause_detector: sync::Mutex::new(gateway::PauseDetector::new(now_ms)),
         quarantine: sync::Mutex::new(health::Quarantine::new(&configs::HealthConfig::default())),
         retry_budgets: sync::Mutex::new(indexmap::IndexMap::new()),
         snapshot: arc_swap::ArcSwap::default(),
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -185,6 +185,7 @@
     }
     shared.record_request(routed.service);
     loop {
+        wait_after_pause(shared).await;
         let Some(choice) = choose(shared, routed, history) else {
             let reason = verdict::RefusalReason::NoServer;
             return history.final_response(shared, routed, reason, NO_SERVER_RETRY_AFTER_MS);
@@ -251,6 +252,13 @@
     }
 }
 
+/// Waits until the state of this VM is confirmed if the process was paused.
+async fn wait_after_pause(shared: &gateway::Shared) {
+    while shared.pause_detector().must_wait(shared.now_ms()) {
+        tokio::time::sleep(START_POLL_INTERVAL).await;
+    }
+}
+
 fn choose(
     shared: &gateway::Shared,
     routed: &routed_request::RoutedRequest<'_>,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod fixtures;
 #[path = "gateway/full_read.rs"]
 mod full_read;
+#[path = "gateway/pause_detector.rs"]
+mod pause_detector;
 #[path = "gateway/pull_schedule.rs"]
 mod pull_schedule;
 #[path = "gateway/read_schedule.rs"]
