--- /dev/null
+++ b/src/gateway/control_thread/control/state_exchange.rs
@@ -0,0 +1,149 @@
+//! Exchange of the store's state with other entry VMs.
+
+use std::net;
+
+use crate::gateway;
+use crate::gateway::control_thread::control;
+use crate::gateway::control_thread::control_event;
+use crate::gateway::control_thread::fleet_service;
+use crate::gateway::control_thread::store_cache;
+
+/// Number of VMs of the region that are notified immediately of new state.
+const URGENT_REGION_RECEIVER_COUNT: usize = 3;
+
+impl control::Control {
+    /// Applies the summary of another entry VM, and starts a pull from that VM if
+    /// its state is newer and a pull is due.
+    pub(super) fn handle_state_summary(
+        &mut self,
+        now_ms: u64,
+        from: net::SocketAddr,
+        summary: gateway::StateSummary,
+    ) {
+        self.members
+            .record_store_access(now_ms, from, summary.store_fails);
+        let (registry_revision, version) = {
+            let mut cache = self.cache();
+            if summary.store_fails {
+                cache.backends.record_read_failure(now_ms);
+            }
+            if !self.shared.pause_detector().may_be_backlog(now_ms) {
+                cache.confirm_from_peer(now_ms, &summary);
+            }
+            (cache.backends.revision(), cache.configuration_version())
+        };
+        self.record_confirmation();
+        let candidate = gateway::PullCandidate {
+            is_newer: summary.configuration_version > version
+                || summary.registry_revision > registry_revision,
+            is_same_region: self.members.is_in_own_region(from),
+            puller: self.puller(now_ms),
+        };
+        if candidate.is_newer {
+            self.reads.record_source(now_ms);
+        }
+        if !self.pulls.try_begin(now_ms, candidate) {
+            return;
+        }
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let pulled = fleet_service::pull(from, registry_revision, version).await;
+            let pulled = pulled.map(Box::new);
+            let event = control_event::ControlEvent::Pulled { from, pulled };
+            let _ = events.send(event).await;
+        });
+    }
+
+    /// Returns the part of this VM in getting new state.
+    pub(super) fn puller(&self, now_ms: u64) -> gateway::Puller {
+        let role = self.members.reader_role(now_ms);
+        let has_state = self.shared.snapshot.load().is_complete();
+        if role.is_reader || (role.is_seed && !has_state) {
+            gateway::Puller::Reader
+        } else if has_state {
+            gateway::Puller::Updating
+        } else {
+            gateway::Puller::Starting
+        }
+    }
+
+    /// Sends this VM's summary to a VM whose state is older or less fresh.
+    ///
+    /// A VM that has just started so finds a source without waiting for an
+    /// announcement. In a large region, the confirmations of the readers reach each
+    /// VM before it takes its state for stale and reads the store itself.
+    pub(super) fn reply_to_older_summary(
+        &self,
+        now_ms: u64,
+        to: net::SocketAddr,
+        summary: &gateway::StateSummary,
+    ) {
+        let own = self.cache().summary(now_ms);
+        if own.is_newer_than(summary) || own.is_fresher_than(summary) {
+            let reply = gateway::FleetMessage::StateSummaryReply(own);
+            self.datagrams.send(&reply, to);
+        }
+    }
+
+    /// Applies the state that was pulled from another entry VM.
+    pub(super) fn handle_pulled_state(
+        &mut self,
+        from: net::SocketAddr,
+        pulled: Result<Box<fleet_service::PulledState>, String>,
+    ) {
+        self.pulls.end_pull(pulled.is_ok());
+        let state = match pulled {
+            Ok(state) => *state,
+            Err(error) => {
+                self.shared.metrics.counters.add("fleet.pull-failed");
+                let decision_log = &self.shared.decision_log;
+                decision_log.record("fleet.pull-failed", || {
+                    format!("from={from} error=\"{error}\"")
+                });
+                return;
+            }
+        };
+        let now_ms = self.shared.now_ms();
+        let source = format!("peer={from}");
+        let (changes, updated_configuration, is_registry_known) = {
+            let mut cache = self.cache();
+            let update = gateway::TableUpdate {
+                is_complete: state.is_complete,
+                next_offset: state.registry_next_offset,
+                revision: state.summary.registry_revision,
+                rows: state.rows,
+            };
+            let changes = cache.backends.merge(now_ms, update);
+            cache.confirm_from_peer(now_ms, &state.summary);
+            let update = state.configuration_change.as_ref();
+            let update = update.zip(cache.routes());
+            let updated = update.and_then(|(change, routes)| change.apply(&routes.configuration));
+            (changes, updated, store_cache::is_registry_known(&cache))
+        };
+        if is_registry_known {
+            self.reads.mark_registry_complete();
+        }
+        self.apply_backend_changes(&changes, &source);
+        self.record_confirmation();
+        self.publish_first_registry();
+        if let Some(configuration) = state.configuration.or(updated_configuration) {
+            self.put_in_force(configuration, &source);
+        }
+    }
+
+    /// Sends the state summary to a few random VMs immediately.
+    pub(super) fn send_urgent_summary(&self) {
+        let mut receivers = self
+            .members
+            .random_peers(URGENT_REGION_RECEIVER_COUNT, true);
+        receivers.extend(self.members.random_peers(1, false));
+        self.send_summary(&receivers);
+    }
+
+    /// Sends the state summary to VMs.
+    pub(super) fn send_summary(&self, receivers: &[net::SocketAddr]) {
+        let summary = self.cache().summary(self.shared.now_ms());
+        let message = gateway::FleetMessage::StateSummary(summary);
+        self.datagrams.send_to_all(&message, receivers);
+    }
+}
--- a/src/gateway/traffic_thread/attempt.rs
+++ b/src/gateway/traffic_thread/attempt.rs
@@ -1,6 +1,5 @@
 //! Attempt to run a request on one backend server.
 
-use std::io;
 use std::sync;
 use std::time;
 
@@ -8,6 +7,7 @@
 
 use crate::gateway;
 use crate::gateway::traffic_thread::response;
+use crate::gateway::traffic_thread::response_stream;
 use crate::gateway::traffic_thread::routed_request;
 use crate::http1;
 use crate::verdict;
@@ -21,8 +21,6 @@
 const REFUSAL_DRAIN_TIME: time::Duration = time::Duration::from_millis(200);
 /// Maximum size of a refusal that is read for the same purpose, in bytes.
 const REFUSAL_DRAIN_LIMIT_BYTES: usize = 16_384;
-/// Longest pause within the body of a response that is passed on while it arrives.
-const STREAM_STALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// Outcome of one attempt.
 pub enum AttemptOutcome {
@@ -231,7 +229,7 @@
         // The remaining part of a large response is streamed. The connection
         // stays open as long as the body is in use and is not reused.
         ReadBody::Partial(first) => {
-            let stream = ResponseStream {
+            let stream = response_stream::ResponseStream {
                 choice: choice.clone(),
                 connection,
                 deadline: routed.caller_deadline,
@@ -307,63 +305,6 @@
     Ok(ReadBody::Complete(bytes.freeze()))
 }
 
-/// Response of a server that is passed on while it arrives. Its connection stays open
-/// as long as the body is in use, and is not used again.
-///
-/// The body ends with an error, so that the caller does not take it for complete, if
-/// the server breaks it off, pauses for too long, or does not end it before the
-/// caller's deadline.
-struct ResponseStream {
-    choice: gateway::Choice,
-    connection: http1::ClientConnection,
-    deadline: tokio::time::Instant,
-    /// Part of the body that was read before the response was passed on.
-    first: Option<bytes::Bytes>,
-    rest: hyper::body::Incoming,
-    shared: sync::Arc<gateway::Shared>,
-}
-
-impl ResponseStream {
-    fn into_body(self) -> response::ResponseBody {
-        let frames = futures::stream::unfold(Some(self), |stream| async move {
-            let mut stream = stream?;
-            match stream.next_frame().await? {
-                Ok(frame) => Some((Ok(frame), Some(stream))),
-                // Dropping the stream closes the connection to the server.
-                Err(error) => Some((Err(error), None)),
-            }
-        });
-        http_body_util::StreamBody::new(frames).boxed_unsync()
-    }
-
-    async fn next_frame(&mut self) -> Option<Result<http_body::Frame<bytes::Bytes>, io::Error>> {
-        if let Some(first) = self.first.take() {
-            return Some(Ok(http_body::Frame::data(first)));
-        }
-        let stalled_at = tokio::time::Instant::now() + STREAM_STALL_TIMEOUT;
-        let frame = tokio::time::timeout_at(stalled_at.min(self.deadline), self.rest.frame()).await;
-        let error = match frame {
-            Ok(None) => return None,
-            Ok(Some(Ok(frame))) if tokio::time::Instant::now() < self.deadline => {
-                return Some(Ok(frame));
-            }
-            Ok(Some(Ok(_))) => io::Error::other("response body does not end before the deadline"),
-            Ok(Some(Err(error))) => io::Error::other(error),
-            Err(_) => io::Error::other("response body stalled"),
-        };
-        self.shared
-            .record_evidence(&self.choice, gateway::Evidence::Failure);
-        self.shared.metrics.counters.add("response.broken-off");
-        let decision_log = &self.shared.decision_log;
-        decision_log.record("response.broken-off", || {
-            let is_open = self.connection.is_open();
-            let server = &self.choice.backend.id;
-            format!("server={server} connection_open={is_open} error=\"{error}\"")
-        });
-        Some(Err(error))
-    }
-}
-
 /// Returns how long the connection may be kept idle; `None` if it must be closed.
 fn idle_time(shared: &gateway::Shared, headers: &http::HeaderMap) -> Option<time::Duration> {
     let connection = headers.get(http::header::CONNECTION);
--- a/src/gateway/traffic_thread/mod.rs
+++ b/src/gateway/traffic_thread/mod.rs
@@ -10,5 +10,6 @@
 pub(super) mod proxy;
 pub(super) mod request_log;
 pub(super) mod response;
+pub(super) mod response_stream;
 pub(super) mod routed_request;
 pub(super) mod status_endpoints;
