--- a/src/gateway/control_thread/members.rs
+++ b/src/gateway/control_thread/members.rs
@@ -125,15 +125,12 @@
             preferred_count += 1;
             readable_count += u64::from(can_read);
         }
-        let is_seed = identity.seeds.contains(&identity.peer_address);
         let reader_count = self.shared.config.store_readers_per_region as u64;
-        gateway::ReaderRole::new(
-            now_ms,
-            is_seed,
+        gateway::ReaderRole {
+            is_reader: gateway::ReaderRole::is_reader_by_rank(now_ms, readable_count, reader_count),
+            is_seed: identity.seeds.contains(&identity.peer_address),
             preferred_count,
-            readable_count,
-            reader_count,
-        )
+        }
     }
 
     /// Returns whether a VM is known to be in this VM's region.
--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -18,22 +18,13 @@
     /// then, it knows most of its peers.
     pub const RANK_KNOWN_MS: u64 = 1_200;
 
-    /// Returns the role of a VM at `now_ms` of its clock, which starts at 0.
+    /// Returns whether a VM is a reader by its rank, at `now_ms` of its clock, which
+    /// starts at 0.
     ///
-    /// `readable_count` is the number of the `preferred_count` VMs that can read the
-    /// store, and `reader_count` the number of readers of a region.
+    /// `readable_count` is the number of preferred VMs that can read the store, and
+    /// `reader_count` the number of readers of a region.
     #[must_use]
-    pub const fn new(
-        now_ms: u64,
-        is_seed: bool,
-        preferred_count: u64,
-        readable_count: u64,
-        reader_count: u64,
-    ) -> Self {
-        Self {
-            is_reader: now_ms >= Self::RANK_KNOWN_MS && readable_count < reader_count,
-            is_seed,
-            preferred_count,
-        }
+    pub const fn is_reader_by_rank(now_ms: u64, readable_count: u64, reader_count: u64) -> bool {
+        now_ms >= Self::RANK_KNOWN_MS && readable_count < reader_count
     }
 }
