Use all servers of a degraded service again

A third of the servers were sound, not a half, and a suspect that is left out counts as sound two seconds after its last failure, so the 15 in 100 that were left out were nearly all sound ones.

The test every_server_is_used_while_many_requests_fail is back as it was, and so is failures_reported_by_other_vms_bring_all_servers_into_use; the two tests of the share that was taken back go with it.

--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -364,7 +364,7 @@
         let is_degraded = health
             .is_some_and(|health| health.is_degraded(now_ms, self.server_use.trouble_percent));
         let share_permille = if is_degraded {
-            use_floor::degraded_share_permille(self.min_share_permille)
+            PERMILLE
         } else {
             self.min_share_permille + self.server_use.share_margin_percent * PERMILLE / PERCENT
         };
--- a/src/gateway/use_floor.rs
+++ b/src/gateway/use_floor.rs
@@ -2,9 +2,6 @@
 //! of servers in use.
 
 const PERMILLE: u64 = 1_000;
-/// Share of a service's servers that are healthy, in thousandths, down to which the
-/// minimum share holds whichever servers are left out.
-const HEALTHY_PERMILLE: u64 = 500;
 
 /// A server that can be chosen for a request.
 #[derive(Clone, Copy, Debug)]
@@ -45,16 +42,3 @@
         .map(|candidate| candidate.incarnation)
         .collect()
 }
-
-/// Returns the share of a degraded service's servers that must be in use so that
-/// `min_share_permille` of its healthy servers are in use, both in thousandths.
-///
-/// Load pattern: more than a tenth of the requests fail, and the healthy servers
-/// are not known. Even if all servers that are left out are healthy ones, they are a
-/// small enough part of the healthy servers. Using the other servers as well would
-/// cost more failures, which keep the service degraded.
-#[must_use]
-pub const fn degraded_share_permille(min_share_permille: u64) -> u64 {
-    let unused_permille = PERMILLE.saturating_sub(min_share_permille) * HEALTHY_PERMILLE / PERMILLE;
-    PERMILLE - unused_permille
-}
--- a/tests/gateway/backend_pool.rs
+++ b/tests/gateway/backend_pool.rs
@@ -202,40 +202,20 @@
     );
 }
 
-/// Guards against too few healthy servers in use in a degraded service: a third of
-/// them received no request for two seconds while 17% of the requests failed. The
-/// minimum share must hold whichever servers are healthy.
+/// Guards against unused servers in a degraded service: a third of its healthy
+/// servers received no request for two seconds while 17% of the requests failed. A
+/// suspect that is left out counts as healthy two seconds after its last failure, so
+/// leaving out the most suspect 15% is too much as well (found with load `trouble-1`
+/// of the large site, seed 630652568915).
 #[test]
-fn degraded_service_uses_the_minimum_share_of_any_half_of_its_servers() {
-    let ids: Vec<String> = (0..40).map(|number| format!("s{number}")).collect();
-    let mut pool = pool(ids.iter().map(|id| fixtures::backend(id)).collect());
-    let suspects: Vec<&str> = ids[..20].iter().map(String::as_str).collect();
-    suspect(&mut pool, 1_000, &suspects);
-    for number in 0..20 {
-        record_request(&mut pool, 1_000, number % 5 > 0);
-    }
-    let used = used_within(&mut pool, 1_000, 2_000);
-    let unused_count = ids.len() - used.len();
-    let healthy_count = ids.len() / 2;
-    assert!(
-        unused_count * 10 <= healthy_count * 3,
-        "all {unused_count} unused servers may be healthy"
-    );
-}
-
-/// Guards against a degradation that keeps itself going: all suspects were used
-/// whatever their suspicion, and the requests that failed there kept a service
-/// degraded in which a third of the servers fail.
-#[test]
-fn degraded_service_leaves_out_its_most_suspect_servers() {
-    let ids: Vec<String> = (0..40).map(|number| format!("s{number}")).collect();
-    let mut pool = pool(ids.iter().map(|id| fixtures::backend(id)).collect());
-    suspect(&mut pool, 1_000, &["s0", "s1"]);
+fn every_server_is_used_while_many_requests_fail() {
+    let mut pool = pool(ten_servers());
+    suspect(&mut pool, 1_000, &["s0", "s1", "s2"]);
     for number in 0..20 {
         record_request(&mut pool, 1_000, number % 5 > 0);
     }
     let used = used_within(&mut pool, 1_000, 2_000);
-    assert!(!used.contains("s0") && !used.contains("s1"), "{used:?}");
+    assert_eq!(used.len(), 10, "within two seconds: {used:?}");
 }
 
 /// Guards against a service that counts as degraded because its traffic begins:
@@ -325,11 +305,9 @@
 /// The outcomes in the reports of other VMs count like those of the VM's own
 /// requests.
 #[test]
-fn failures_reported_by_other_vms_bring_more_servers_into_use() {
+fn failures_reported_by_other_vms_bring_all_servers_into_use() {
     let mut pool = pool(ten_servers());
-    suspect(&mut pool, 1_000, &["s0", "s1", "s2", "s3"]);
-    let used = used_within(&mut pool, 500, 500);
-    assert!(used.len() <= 8, "before the report: {used:?}");
+    suspect(&mut pool, 1_000, &["s0", "s1", "s2"]);
     let peer = "10.0.0.9:1".parse().expect("an address");
     let mut other = self::pool(ten_servers());
     for number in 0..20 {
@@ -339,7 +317,7 @@
     assert!(other.take_report().is_empty());
     pool.apply_report(1_000, peer, &report);
     let used = used_within(&mut pool, 1_000, 2_000);
-    assert!(used.len() >= 9, "within two seconds: {used:?}");
+    assert_eq!(used.len(), 10, "within two seconds: {used:?}");
 }
 
 fn report_of(incarnation: u64, in_flight: u32, sent_count: u32) -> gateway::LoadReport {
