--- a/tests/gateway/backend_pool.rs
+++ b/tests/gateway/backend_pool.rs
@@ -203,10 +203,7 @@
 }
 
 /// Guards against unused servers in a degraded service: a third of its healthy
-/// servers received no request for two seconds while 17% of the requests failed. A
-/// suspect that is left out counts as healthy two seconds after its last failure, so
-/// leaving out the most suspect 15% is too much as well (found with load `trouble-1`
-/// of the large site, seed 630652568915).
+/// servers received no request for two seconds while 17% of the requests failed.
 #[test]
 fn every_server_is_used_while_many_requests_fail() {
     let mut pool = pool(ten_servers());
