Log why a VM reads the store and what a pull carried

While a new configuration spreads, VMs that are no readers read the store themselves, and pulls time out. The counters show that it happens, but not why: whether the state was old, from which offset the VM read, and how much the pulls carried.

--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -152,9 +152,11 @@
                 self.members.handle(membership::MembershipEvent::Leave);
                 self.publish();
             }
-            control_event::ControlEvent::Pulled { from, pulled } => {
-                self.handle_pulled_state(from, pulled);
-            }
+            control_event::ControlEvent::Pulled {
+                begun_ms,
+                from,
+                pulled,
+            } => self.handle_pulled_state(begun_ms, from, pulled),
             control_event::ControlEvent::SeedsChanged(seeds) => {
                 if self.members.add_addresses(&seeds) {
                     self.publish();
--- a/src/gateway/control_thread/control/state_exchange.rs
+++ b/src/gateway/control_thread/control/state_exchange.rs
@@ -49,7 +49,11 @@
         tokio::spawn(async move {
             let pulled = fleet_service::pull(from, registry_revision, version).await;
             let pulled = pulled.map(Box::new);
-            let event = control_event::ControlEvent::Pulled { from, pulled };
+            let event = control_event::ControlEvent::Pulled {
+                begun_ms: now_ms,
+                from,
+                pulled,
+            };
             let _ = events.send(event).await;
         });
     }
@@ -88,9 +92,12 @@
     /// Applies the state that was pulled from another entry VM.
     pub(super) fn handle_pulled_state(
         &mut self,
+        begun_ms: u64,
         from: net::SocketAddr,
         pulled: Result<Box<fleet_service::PulledState>, String>,
     ) {
+        let now_ms = self.shared.now_ms();
+        let took_ms = now_ms.saturating_sub(begun_ms);
         self.pulls.end_pull(pulled.is_ok());
         let state = match pulled {
             Ok(state) => *state,
@@ -98,12 +105,20 @@
                 self.shared.metrics.counters.add("fleet.pull-failed");
                 let decision_log = &self.shared.decision_log;
                 decision_log.record("fleet.pull-failed", || {
-                    format!("from={from} error=\"{error}\"")
+                    format!("from={from} took_ms={took_ms} error=\"{error}\"")
                 });
                 return;
             }
         };
-        let now_ms = self.shared.now_ms();
+        self.shared.metrics.counters.add("fleet.pulled");
+        self.shared.decision_log.record("fleet.pulled", || {
+            format!(
+                "from={from} took_ms={took_ms} rows={} routes={} version={}",
+                state.rows.len(),
+                state.route_count(),
+                state.summary.configuration_version
+            )
+        });
         let source = format!("peer={from}");
         let (changes, updated_configuration, is_registry_known) = {
             let mut cache = self.cache();
--- a/src/gateway/control_thread/control_event.rs
+++ b/src/gateway/control_thread/control_event.rs
@@ -34,6 +34,8 @@
     Leave,
     /// A pull of state from a peer has ended.
     Pulled {
+        /// When the pull began, in milliseconds of the process clock.
+        begun_ms: u64,
         /// Address of the peer.
         from: net::SocketAddr,
         /// State returned by the peer, or the error.
--- a/src/gateway/control_thread/fleet_service.rs
+++ b/src/gateway/control_thread/fleet_service.rs
@@ -51,6 +51,17 @@
     pub rows: indexmap::IndexMap<String, gateway::BackendRow>,
 }
 
+impl PulledState {
+    /// Returns the number of routes sent.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        let configuration = self.configuration.as_ref();
+        let change = self.configuration_change.as_ref();
+        configuration.map_or(0, |configuration| configuration.routes.len())
+            + change.map_or(0, |change| change.routes.len())
+    }
+}
+
 /// Further rows of a pull.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct PulledRows {
--- a/src/gateway/control_thread/store_reads.rs
+++ b/src/gateway/control_thread/store_reads.rs
@@ -43,6 +43,16 @@
         }
     }
 
+    /// Records that a read has begun. Returns the offset to read from, or `None` if
+    /// the newest record of each key has to be read.
+    const fn begin_read(&mut self, next_offset: Option<u64>) -> Option<u64> {
+        self.schedule.begin_read();
+        if self.needs_full_read {
+            return None;
+        }
+        next_offset
+    }
+
     /// Records the result of a read. Returns `true` if the store failed.
     ///
     /// [`ports::StoreError::HistoryGone`] does not count as a failure of the
@@ -114,9 +124,10 @@
     ) {
         let confirmed_ms = cache.backends.confirmed_ms();
         if self.backends.schedule.is_due(now_ms, role, confirmed_ms) {
-            self.backends.schedule.begin_read();
             let from = cache.backends.next_offset();
-            self.start_registry_read(from.filter(|_| !self.backends.needs_full_read));
+            let from = self.backends.begin_read(from);
+            self.record_standby_read(now_ms, &self.backends, role, confirmed_ms, from);
+            self.start_registry_read(from);
         }
         let confirmed_ms = cache.configuration_confirmed_ms;
         if self
@@ -124,10 +135,35 @@
             .schedule
             .is_due(now_ms, role, confirmed_ms)
         {
-            self.configuration.schedule.begin_read();
             let from = cache.configuration_next_offset;
-            self.start_configuration_read(from.filter(|_| !self.configuration.needs_full_read));
+            let from = self.configuration.begin_read(from);
+            self.record_standby_read(now_ms, &self.configuration, role, confirmed_ms, from);
+            self.start_configuration_read(from);
+        }
+    }
+
+    /// Records a read by a VM that normally gets the state from its peers.
+    fn record_standby_read(
+        &self,
+        now_ms: u64,
+        feed: &FeedReads,
+        role: gateway::ReaderRole,
+        confirmed_ms: Option<u64>,
+        from: Option<u64>,
+    ) {
+        if role.is_reader {
+            return;
         }
+        self.shared.metrics.counters.add("store.standby-read");
+        self.shared.decision_log.record("store.standby-read", || {
+            let age_ms = confirmed_ms.map(|confirmed_ms| now_ms.saturating_sub(confirmed_ms));
+            format!(
+                "feed={} from={} state_age_ms={}",
+                feed.name,
+                or_none(from),
+                or_none(age_ms)
+            )
+        });
     }
 
     /// Records that a peer has newer state than this VM.
@@ -189,6 +225,10 @@
     }
 }
 
+fn or_none(number: Option<u64>) -> String {
+    number.map_or_else(|| "none".to_owned(), |number| number.to_string())
+}
+
 /// Reads the changes since `from`, waiting up to `wait` for the first one, or the
 /// newest record of each key if `from` is `None`. Each call to the store takes at
 /// most `timeout`, not counting its wait.
