Test that VMs do not all read a large configuration from the store

Fails: 110 VMs of two regions, in virtual time, make 166 reads of the whole configuration while it spreads among them.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,8 @@
 mod budget_random;
 #[path = "gateway/cold_start.rs"]
 mod cold_start;
+#[path = "gateway/configuration_spread.rs"]
+mod configuration_spread;
 #[path = "gateway/entry_points.rs"]
 mod entry_points;
 #[path = "gateway/fixtures.rs"]
--- a/tests/gateway/read_schedule.rs
+++ b/tests/gateway/read_schedule.rs
@@ -67,6 +67,24 @@
     assert!(schedule.is_due(6_000, STANDBY, None), "no source delivers");
 }
 
+/// Guards against a region whose VMs all read a large configuration from the store,
+/// over the same link, while it still spreads among them.
+#[test]
+fn vm_that_is_behind_a_peer_waits_for_it_before_it_reads_the_store() {
+    let mut schedule = gateway::ReadSchedule::new(300, 2_000, 100);
+    schedule.begin_read();
+    schedule.end_read(5_000, true);
+    let is_due =
+        |schedule: &gateway::ReadSchedule, now_ms| schedule.is_due(now_ms, STANDBY, Some(10_000));
+    assert!(is_due(&schedule, 12_101), "no peer has anything newer");
+    schedule.record_source(11_500);
+    assert!(!is_due(&schedule, 12_101));
+    assert!(!is_due(&schedule, 13_600));
+    assert!(is_due(&schedule, 13_601), "the peer is silent");
+    schedule.record_source(60_000);
+    assert!(is_due(&schedule, 16_101), "no peer delivers");
+}
+
 /// Guards against VMs that all count themselves as readers before they know their
 /// peers.
 #[test]
