Test that each reply of a pull passes a slow link within its timeout

Fails: a change of 1,400 routes is one reply, larger than a session's part of a 10 Mbit/s link carries before the call times out.

--- a/tests/gateway/configuration_spread.rs
+++ b/tests/gateway/configuration_spread.rs
@@ -415,3 +415,19 @@
         assert_eq!(fleet.standby_reads, 0, "seed {seed}");
     }
 }
+
+/// Guards against pulls that never finish: four VMs that pulled 1,400 routes from a VM
+/// with a slow link at the same time all timed out and began anew.
+#[test]
+fn each_reply_of_a_pull_passes_a_slow_link_within_its_timeout() {
+    let allowed = SLOW_LINK_BYTES_PER_MS * CALL_TIMEOUT_MS / MAX_SESSIONS as u64;
+    for (base, replies) in reply_sizes().iter().enumerate() {
+        for (version, sizes) in replies.iter().enumerate() {
+            let largest = sizes.iter().max().expect("a reply");
+            assert!(
+                *largest <= allowed,
+                "from {base} to {version}: {largest} bytes of at most {allowed}"
+            );
+        }
+    }
+}
