Send a configuration in parts that pass a slow link in time

Callers saw a change of weights in force only seconds after it was confirmed. While 1,400 routes spread, most pulls between VMs timed out: a change was one JSON message of 297 KB, a VM with a link of 10 Mbit/s serves four pulls at a time, and each call has 800 ms. The four failed together and began anew.

A change now goes in replies of 400 routes, each with its own timeout, and the routes are encoded compactly. A VM without a known base gets the same kind of change, from no configuration.

VMs of an earlier build get no configuration from this one; they read the store.

--- a/src/gateway/control_thread/control/state_exchange.rs
+++ b/src/gateway/control_thread/control/state_exchange.rs
@@ -6,6 +6,7 @@
 use crate::gateway::control_thread::control;
 use crate::gateway::control_thread::control_event;
 use crate::gateway::control_thread::fleet_service;
+use crate::gateway::control_thread::pulled_configuration;
 use crate::gateway::control_thread::store_cache;
 
 /// Number of VMs of the region that are notified immediately of new state.
@@ -130,9 +131,11 @@
             };
             let changes = cache.backends.merge(now_ms, update);
             cache.confirm_from_peer(now_ms, &state.summary);
-            let update = state.configuration_change.as_ref();
-            let update = update.zip(cache.routes());
-            let updated = update.and_then(|(change, routes)| change.apply(&routes.configuration));
+            let base = cache.routes().map(|routes| routes.configuration.as_ref());
+            let change = state
+                .configuration
+                .map(pulled_configuration::PulledConfiguration::into_change);
+            let updated = change.and_then(|change| change.apply(base));
             (changes, updated, store_cache::is_registry_known(&cache))
         };
         if is_registry_known {
@@ -141,7 +144,7 @@
         self.apply_backend_changes(&changes, &source);
         self.record_confirmation();
         self.publish_first_registry();
-        if let Some(configuration) = state.configuration.or(updated_configuration) {
+        if let Some(configuration) = updated_configuration {
             self.put_in_force(configuration, &source);
         }
     }
--- a/src/gateway/control_thread/fleet_service.rs
+++ b/src/gateway/control_thread/fleet_service.rs
@@ -11,8 +11,9 @@
 use tokio::sync::Semaphore;
 
 use crate::gateway;
+use crate::gateway::control_thread::compact_routes;
+use crate::gateway::control_thread::pulled_configuration;
 use crate::peer;
-use crate::ports;
 use crate::telemetry;
 
 /// Timeout of one call of a pull, including the time to connect.
@@ -30,12 +31,9 @@
 /// State sent to an entry VM whose copy of the store is older.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct PulledState {
-    /// Configuration in force, if the requester's is older and the change since
-    /// then cannot be computed.
-    pub configuration: Option<ports::FleetConfiguration>,
-    /// Change from the requester's configuration to the one in force, if the
-    /// requester's is older and still stored here.
-    pub configuration_change: Option<ports::ConfigurationChange>,
+    /// Change to the configuration in force, if the requester's is older.
+    #[serde(rename = "configuration_part", default)]
+    pub configuration: Option<pulled_configuration::PulledConfiguration>,
     /// Versions and age of the sent state.
     #[serde(rename = "news")]
     pub summary: gateway::StateSummary,
@@ -56,9 +54,7 @@
     #[must_use]
     pub fn route_count(&self) -> usize {
         let configuration = self.configuration.as_ref();
-        let change = self.configuration_change.as_ref();
-        configuration.map_or(0, |configuration| configuration.routes.len())
-            + change.map_or(0, |change| change.routes.len())
+        configuration.map_or(0, |configuration| configuration.route_count)
     }
 }
 
@@ -81,6 +77,14 @@
     /// Returns further rows of the registry: those of later keys than `after_key`
     /// that changed after `registry_revision`.
     async fn pull_rows(registry_revision: u64, after_key: String) -> PulledRows;
+
+    /// Returns further routes of the change from `base_version` to `version`: those
+    /// after the first `count`. There are none if the change is no longer stored.
+    async fn routes_after(
+        base_version: u64,
+        version: u64,
+        count: usize,
+    ) -> compact_routes::CompactRoutes;
 }
 
 /// Source of the state that other entry VMs pull.
@@ -97,6 +101,15 @@
     /// Returns up to `max_rows` registry changes after `registry_revision` with
     /// later keys than `after_key`.
     fn rows_after(&self, registry_revision: u64, after_key: &str, max_rows: usize) -> PulledRows;
+
+    /// Returns the routes after the first `count` of the change from `base_version` to
+    /// `version`, as many as fit in a reply.
+    fn routes_after(
+        &self,
+        base_version: u64,
+        version: u64,
+        count: usize,
+    ) -> compact_routes::CompactRoutes;
 }
 
 #[derive(Clone)]
@@ -124,6 +137,16 @@
         self.source
             .rows_after(registry_revision, &after_key, MAX_REPLY_ROWS)
     }
+
+    async fn routes_after(
+        self,
+        _context: tarpc::context::Context,
+        base_version: u64,
+        version: u64,
+        count: usize,
+    ) -> compact_routes::CompactRoutes {
+        self.source.routes_after(base_version, version, count)
+    }
 }
 
 /// Serves pulls until the process ends.
@@ -207,6 +230,20 @@
         state.has_more_rows = further.has_more_rows && !further.rows.is_empty();
         state.rows.extend(further.rows);
     }
+    if let Some(configuration) = &mut state.configuration {
+        while !configuration.is_complete() {
+            let head = &configuration.head;
+            let count = configuration.routes.0.len();
+            let further =
+                client.routes_after(call_context(), head.base_version, head.version, count);
+            let further = async { further.await.map_err(|error| error.to_string()) };
+            let further = with_timeout(further).await?;
+            if further.0.is_empty() {
+                return Err("the peer no longer has the configuration".to_owned());
+            }
+            configuration.routes.0.extend(further.0);
+        }
+    }
     Ok(state)
 }
 
--- a/src/gateway/control_thread/store_cache.rs
+++ b/src/gateway/control_thread/store_cache.rs
@@ -5,7 +5,9 @@
 
 use crate::context;
 use crate::gateway;
+use crate::gateway::control_thread::compact_routes;
 use crate::gateway::control_thread::fleet_service;
+use crate::gateway::control_thread::pulled_configuration;
 use crate::ports;
 
 /// Time added to the ages that a peer sends, in milliseconds. It covers the
@@ -34,6 +36,9 @@
     /// process clock; `None` after a successful read.
     pub store_failed_ms: Option<u64>,
     earlier_configurations: collections::VecDeque<sync::Arc<ports::FleetConfiguration>>,
+    /// Change that was last sent to a peer. Several peers need the same one, each in
+    /// several replies.
+    last_change: Option<sync::Arc<ports::ConfigurationChange>>,
     /// Routes in force; `None` before the first configuration.
     routes: Option<sync::Arc<gateway::RouteIndex>>,
     clock: sync::Arc<dyn context::Clock>,
@@ -49,6 +54,7 @@
             configuration_confirmed_ms: None,
             configuration_next_offset: None,
             earlier_configurations: collections::VecDeque::new(),
+            last_change: None,
             routes: None,
             store_failed_ms: None,
         }
@@ -78,15 +84,44 @@
         }
     }
 
-    /// Returns the change from configuration `version` to the one in force, if
-    /// the configuration of that version is still stored.
-    fn change_since(&self, version: u64) -> Option<ports::ConfigurationChange> {
-        let next = &self.routes.as_ref()?.configuration;
-        let base = self
-            .earlier_configurations
-            .iter()
-            .find(|earlier| earlier.version == version)?;
-        Some(ports::ConfigurationChange::between(base, next))
+    /// Returns the change to the configuration in force from `version`, or from no
+    /// configuration if `version` is no longer stored.
+    fn change_since(&mut self, version: u64) -> Option<sync::Arc<ports::ConfigurationChange>> {
+        let next = self.routes.as_ref()?.configuration.version;
+        let is_base_stored = self.stored(version).is_some();
+        let base_version = if is_base_stored { version } else { 0 };
+        self.change_between(base_version, next)
+    }
+
+    /// Returns the change from one stored configuration to another. Base 0 stands for
+    /// no configuration.
+    fn change_between(
+        &mut self,
+        base_version: u64,
+        version: u64,
+    ) -> Option<sync::Arc<ports::ConfigurationChange>> {
+        let last = self.last_change.as_ref();
+        let last =
+            last.filter(|change| (change.base_version, change.version) == (base_version, version));
+        if let Some(change) = last {
+            return Some(sync::Arc::clone(change));
+        }
+        let next = self.stored(version)?;
+        let change = if base_version == 0 {
+            ports::ConfigurationChange::complete(next)
+        } else {
+            ports::ConfigurationChange::between(self.stored(base_version)?, next)
+        };
+        let change = sync::Arc::new(change);
+        self.last_change = Some(sync::Arc::clone(&change));
+        Some(change)
+    }
+
+    /// Returns the configuration of a version: the one in force or an earlier one.
+    fn stored(&self, version: u64) -> Option<&sync::Arc<ports::FleetConfiguration>> {
+        let in_force = self.routes.as_ref().map(|routes| &routes.configuration);
+        let mut stored = in_force.into_iter().chain(&self.earlier_configurations);
+        stored.find(|configuration| configuration.version == version)
     }
 
     /// Applies a peer's confirmation that the registry or the configuration is
@@ -138,19 +173,19 @@
         configuration_version: u64,
         max_rows: usize,
     ) -> fleet_service::PulledState {
-        let cache = self.0.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        let routes = cache.routes.as_ref();
-        let newer = routes.filter(|routes| routes.configuration.version > configuration_version);
-        let change = newer.and_then(|_| cache.change_since(configuration_version));
+        let mut cache = self.0.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let change = if cache.configuration_version() > configuration_version {
+            cache.change_since(configuration_version)
+        } else {
+            None
+        };
         let is_complete = cache.backends.needs_full_table(registry_revision);
         let since = if is_complete { 0 } else { registry_revision };
         let now_ms = cache.clock.now_ms();
         let rows = cache.backends.rows_since(now_ms, since, None, max_rows);
         fleet_service::PulledState {
-            configuration: newer
-                .filter(|_| change.is_none())
-                .map(|routes| routes.configuration.as_ref().clone()),
-            configuration_change: change,
+            configuration: change
+                .map(|change| pulled_configuration::PulledConfiguration::first_reply(&change)),
             has_more_rows: rows.len() == max_rows,
             is_complete,
             summary: cache.summary(now_ms),
@@ -176,4 +211,17 @@
             rows,
         }
     }
+
+    fn routes_after(
+        &self,
+        base_version: u64,
+        version: u64,
+        count: usize,
+    ) -> compact_routes::CompactRoutes {
+        let mut cache = self.0.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let change = cache.change_between(base_version, version);
+        change.map_or_else(compact_routes::CompactRoutes::default, |change| {
+            pulled_configuration::routes_after(&change, count)
+        })
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,7 +45,7 @@
 pub use backend_table::{BackendRow, BackendTable};
 pub use choice::{Choice, ChoiceRequest};
 pub use control_thread::fleet_message::{FleetMessage, StateSummary};
-pub use control_thread::fleet_service::StateSource;
+pub use control_thread::fleet_service::{PulledState, StateSource};
 pub use control_thread::store_cache::{StoreCache, StoreCacheSource};
 pub use entry_points::{EntryVm, choose as choose_entry_points};
 pub use full_read::FullRead;
--- a/src/ports/configuration_change.rs
+++ b/src/ports/configuration_change.rs
@@ -6,7 +6,8 @@
 /// thousands of routes, so VMs send each other only the routes that changed.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct ConfigurationChange {
-    /// Version that the change applies to.
+    /// Version that the change applies to; 0 if it contains the complete
+    /// configuration and applies to any.
     pub base_version: u64,
     /// Size and time limits on requests in the new version.
     pub limits: ports::RequestLimits,
@@ -45,14 +46,31 @@
         }
     }
 
+    /// Returns the change from no configuration to `next`.
+    #[must_use]
+    pub fn complete(next: &ports::FleetConfiguration) -> Self {
+        Self {
+            base_version: 0,
+            limits: next.limits,
+            removed: Vec::new(),
+            routes: next.routes.clone(),
+            services: next.services.clone(),
+            version: next.version,
+        }
+    }
+
     /// Applies the change to `base`. Returns `None` if `base` is not the
     /// version that the change applies to.
     #[must_use]
-    pub fn apply(&self, base: &ports::FleetConfiguration) -> Option<ports::FleetConfiguration> {
-        if base.version != self.base_version {
+    pub fn apply(
+        &self,
+        base: Option<&ports::FleetConfiguration>,
+    ) -> Option<ports::FleetConfiguration> {
+        let base = base.filter(|base| base.version == self.base_version);
+        if base.is_none() && self.base_version != 0 {
             return None;
         }
-        let mut routes: indexmap::IndexMap<(&str, &str), &ports::Route> = by_host_and_prefix(base);
+        let mut routes = base.map_or_else(indexmap::IndexMap::new, by_host_and_prefix);
         for (host, prefix) in &self.removed {
             routes.shift_remove(&(host.as_str(), prefix.as_str()));
         }
--- a/tests/gateway/configuration_spread.rs
+++ b/tests/gateway/configuration_spread.rs
@@ -383,7 +383,17 @@
 
 fn replies(source: &gateway::StoreCacheSource, base_version: u64) -> Vec<u64> {
     let reply = source.state_after(0, base_version, 400);
-    vec![encoded_bytes(&reply)]
+    let mut sizes = vec![encoded_bytes(&reply)];
+    if let Some(first) = reply.configuration {
+        let mut count = first.routes.0.len();
+        while count < first.route_count {
+            let further = source.routes_after(first.head.base_version, first.head.version, count);
+            count += further.0.len();
+            sizes.push(encoded_bytes(&further));
+        }
+    }
+    sizes.reverse();
+    sizes
 }
 
 fn encoded_bytes(reply: &impl serde::Serialize) -> u64 {
@@ -431,3 +441,51 @@
         }
     }
 }
+
+/// Guards against a configuration that is put in force with a part of its routes: they
+/// come in several replies, and the peer may get a newer version in between.
+#[test]
+fn configuration_pulled_in_several_replies_is_complete() {
+    let configurations = [routes(900, 1), routes(2_300, 1), routes(2_300, 2)];
+    let mut configurations = configurations.into_iter().zip([10, 20, 30]);
+    let mut next = || {
+        let (routes, version) = configurations.next().expect("a configuration");
+        sync::Arc::new(fixtures::configuration(version, routes))
+    };
+    let (base, wanted, newer) = (next(), next(), next());
+    let put_in_force = |source: &gateway::StoreCacheSource, configuration: &sync::Arc<_>| {
+        let index = gateway::RouteIndex::build(sync::Arc::clone(configuration));
+        let mut cache = source.0.lock().expect("no test has failed");
+        cache.set_routes(sync::Arc::new(index));
+    };
+    let cache = gateway::StoreCache::new(sync::Arc::new(context::ManualClock::default()));
+    let source = gateway::StoreCacheSource(sync::Arc::new(sync::Mutex::new(cache)));
+    put_in_force(&source, &base);
+    put_in_force(&source, &wanted);
+    for (own_version, base) in [(10, Some(&base)), (0, None), (7, None)] {
+        let reply = source.state_after(0, own_version, 400);
+        let text = serde_json::to_string(&reply).expect("a reply");
+        let reply: gateway::PulledState = serde_json::from_str(&text).expect("the same reply");
+        let mut pulled = reply.configuration.expect("a change");
+        assert!(!pulled.is_complete());
+        while !pulled.is_complete() {
+            put_in_force(&source, &newer);
+            let head = &pulled.head;
+            let count = pulled.routes.0.len();
+            let further = source.routes_after(head.base_version, head.version, count);
+            assert!(!further.0.is_empty(), "the earlier version is still stored");
+            pulled.routes.0.extend(further.0);
+        }
+        let change = pulled.into_change();
+        let mut applied = change
+            .apply(base.map(AsRef::as_ref))
+            .expect("the base fits");
+        applied.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut expected = wanted.as_ref().clone();
+        expected.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        assert!(applied == expected, "from version {own_version}");
+        put_in_force(&source, &wanted);
+    }
+    let gone = source.routes_after(10, 99, 0);
+    assert!(gone.0.is_empty(), "a version that is not stored");
+}
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -135,8 +135,11 @@
     );
     let change = ports::ConfigurationChange::between(&base, &next);
     assert_eq!((change.routes.len(), change.removed.len()), (2, 1));
-    let mut applied = change.apply(&base).expect("the base fits");
+    let mut applied = change.apply(Some(&base)).expect("the base fits");
     applied.routes.sort_by(|a, b| a.name.cmp(&b.name));
     assert_eq!(applied, next);
-    assert!(change.apply(&next).is_none(), "another base is refused");
+    assert!(
+        change.apply(Some(&next)).is_none(),
+        "another base is refused"
+    );
 }
