Let VMs that are behind a peer wait for it before they read the store

Callers in the region without the store were served by old weights for seconds.

A VM that knows of a newer version at its peers now waits for them, for at most four seconds beyond the usual time. VMs pass on which version they have heard of, so that one that is far from the first holders knows too. Reads of the registry do not wait: its changes are small, and servers may have left.

--- a/src/gateway/control_thread/control/state_exchange.rs
+++ b/src/gateway/control_thread/control/state_exchange.rs
@@ -23,15 +23,20 @@
     ) {
         self.members
             .record_store_access(now_ms, from, summary.store_fails);
-        let (registry_revision, version) = {
+        let (registry_revision, version, is_registry_known) = {
             let mut cache = self.cache();
             if summary.store_fails {
                 cache.backends.record_read_failure(now_ms);
             }
+            cache.heard_version = cache.heard_version.max(summary.newest_known_version);
             if !self.shared.pause_detector().may_be_backlog(now_ms) {
                 cache.confirm_from_peer(now_ms, &summary);
             }
-            (cache.backends.revision(), cache.configuration_version())
+            (
+                cache.backends.revision(),
+                cache.configuration_version(),
+                store_cache::is_registry_known(&cache),
+            )
         };
         self.record_confirmation();
         let candidate = gateway::PullCandidate {
@@ -40,8 +45,11 @@
             is_same_region: self.members.is_in_own_region(from),
             puller: self.puller(now_ms),
         };
-        if candidate.is_newer {
-            self.reads.record_source(now_ms);
+        if summary.newest_known_version > version {
+            self.reads.record_configuration_source(now_ms);
+        }
+        if candidate.is_newer && !is_registry_known {
+            self.reads.record_registry_source(now_ms);
         }
         if !self.pulls.try_begin(now_ms, candidate) {
             return;
--- a/src/gateway/control_thread/fleet_message.rs
+++ b/src/gateway/control_thread/fleet_message.rs
@@ -42,6 +42,8 @@
     pub configuration_age_ms: Option<u64>,
     /// Version of the configuration in force; 0 before the first.
     pub configuration_version: u64,
+    /// Newest version of the configuration that this VM has or has heard of.
+    pub newest_known_version: u64,
     /// Time since the registry was last known to be complete, in milliseconds;
     /// `None` if it never was.
     pub registry_age_ms: Option<u64>,
--- a/src/gateway/control_thread/store_cache.rs
+++ b/src/gateway/control_thread/store_cache.rs
@@ -35,6 +35,8 @@
     /// Time of the last read of the store if it failed, in milliseconds of the
     /// process clock; `None` after a successful read.
     pub store_failed_ms: Option<u64>,
+    /// Newest version of the configuration that a peer has or has heard of.
+    pub heard_version: u64,
     earlier_configurations: collections::VecDeque<sync::Arc<ports::FleetConfiguration>>,
     /// Change that was last sent to a peer. Several peers need the same one, each in
     /// several replies.
@@ -54,6 +56,7 @@
             configuration_confirmed_ms: None,
             configuration_next_offset: None,
             earlier_configurations: collections::VecDeque::new(),
+            heard_version: 0,
             last_change: None,
             routes: None,
             store_failed_ms: None,
@@ -148,6 +151,7 @@
         gateway::StateSummary {
             configuration_age_ms: self.configuration_confirmed_ms.map(age),
             configuration_version: self.configuration_version(),
+            newest_known_version: self.configuration_version().max(self.heard_version),
             registry_age_ms: self.backends.confirmed_ms().map(age),
             registry_revision: self.backends.revision(),
             store_fails: self
--- a/src/gateway/control_thread/store_reads.rs
+++ b/src/gateway/control_thread/store_reads.rs
@@ -166,9 +166,16 @@
         });
     }
 
-    /// Records that a peer has newer state than this VM.
-    pub const fn record_source(&mut self, now_ms: u64) {
+    /// Records that a peer has a registry that this VM lacks altogether.
+    ///
+    /// A registry that is merely behind is read from the store without a wait for the
+    /// peer: the changes are small, and servers may have left.
+    pub const fn record_registry_source(&mut self, now_ms: u64) {
         self.backends.schedule.record_source(now_ms);
+    }
+
+    /// Records that a peer has, or has heard of, a newer configuration than this VM's.
+    pub const fn record_configuration_source(&mut self, now_ms: u64) {
         self.configuration.schedule.record_source(now_ms);
     }
 
--- a/src/gateway/read_schedule.rs
+++ b/src/gateway/read_schedule.rs
@@ -18,6 +18,9 @@
 /// The same time at the most, in milliseconds, while peers that have the state are
 /// too busy to send it.
 const MAX_STANDBY_START_MS: u64 = 6_000;
+/// Maximum time by which a peer with newer state postpones a read of the store, in
+/// milliseconds.
+const MAX_SOURCE_WAIT_MS: u64 = 4_000;
 /// Multiple of the jitter that is added to `STANDBY_START_MS`.
 const STANDBY_JITTER_FACTOR: u64 = 12;
 
@@ -27,12 +30,13 @@
 /// VMs get the state from the readers and read the feed only when their state is
 /// stale.
 ///
-/// Load pattern: hundreds of VMs start at the same time, or the store does not
-/// respond to any of them. If each VM read the store itself, the calls would grow
+/// Load pattern: hundreds of VMs start at the same time, the store does not respond to
+/// any of them, or a large configuration takes longer to spread than the state of a
+/// VM may be old. If each VM read the store itself, the calls would grow
 /// with the fleet, and the store would refuse those of the readers. Therefore, a VM
-/// that has just started reads at once only if other VMs look for it as a seed, and
-/// the pause after failed reads grows with the number of VMs that are preferred as
-/// readers.
+/// that has just started reads at once only if other VMs look for it as a seed, a VM
+/// that is behind a peer waits for that peer, and the pause after failed reads grows
+/// with the number of VMs that are preferred as readers.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadSchedule {
     failed_ms: Option<u64>,
@@ -81,7 +85,9 @@
         let Some(confirmed_ms) = confirmed_ms else {
             return now_ms >= self.first_read_ms(role);
         };
-        role.is_reader || now_ms > confirmed_ms + self.stale_ms + self.jitter_ms
+        let source_seen_ms = self.source_seen_ms.min(confirmed_ms + MAX_SOURCE_WAIT_MS);
+        let current_ms = confirmed_ms.max(source_seen_ms);
+        role.is_reader || now_ms > current_ms + self.stale_ms + self.jitter_ms
     }
 
     /// Records that a peer has the state that this VM lacks.
--- a/tests/gateway/configuration_spread.rs
+++ b/tests/gateway/configuration_spread.rs
@@ -48,6 +48,8 @@
 struct Vm {
     confirmed_ms: u64,
     fast: bool,
+    /// Newest version that the VM has or has heard of.
+    heard: usize,
     in_force_ms: [Option<u64>; VERSIONS.len()],
     jitter_ms: u64,
     pulls: gateway::PullSchedule,
@@ -95,6 +97,7 @@
             Vm {
                 confirmed_ms: 0,
                 fast: number % 6 == 5,
+                heard: 0,
                 in_force_ms: [None; VERSIONS.len()],
                 jitter_ms,
                 pulls: gateway::PullSchedule::default(),
@@ -183,12 +186,14 @@
 
     fn handle_summary(&mut self, from: usize, to: usize) {
         let (version, confirmed_ms) = (self.vms[from].version, self.vms[from].confirmed_ms);
+        let heard = self.vms[from].heard.max(version);
         let state = &mut self.vms[to];
         if version == state.version {
             state.confirmed_ms = state.confirmed_ms.max(confirmed_ms);
         }
         let is_newer = version > state.version;
-        if is_newer {
+        state.heard = state.heard.max(heard);
+        if state.heard > state.version {
             state.schedule.record_source(self.now_ms);
         }
         let candidate = gateway::PullCandidate {
