Pass the offset of the configuration on with its version

A VM that had a configuration from a peer read it from the store once more: only its own reads moved the offset from which it read.

A pull now brings the sender's offset. It is adopted only if this VM has the sender's version, so no record is passed over. The sender sets its offset after the versions of the page are in force, not before.

--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -274,11 +274,7 @@
         let Ok(page) = read else {
             return;
         };
-        {
-            let mut cache = self.cache();
-            cache.configuration_confirmed_ms = Some(self.shared.now_ms());
-            cache.configuration_next_offset = Some(page.next_offset);
-        }
+        self.cache().configuration_confirmed_ms = Some(self.shared.now_ms());
         for entry in page.entries {
             let source = format!("offset={}", entry.offset);
             match entry.value {
@@ -290,6 +286,8 @@
                 )),
             }
         }
+        // Only now: peers adopt this offset together with the version in force.
+        self.cache().configuration_next_offset = Some(page.next_offset);
     }
 
     /// Records whether a read of the store has failed. After a failure, notifies
--- a/src/gateway/control_thread/control/state_exchange.rs
+++ b/src/gateway/control_thread/control/state_exchange.rs
@@ -155,6 +155,14 @@
         if let Some(configuration) = updated_configuration {
             self.put_in_force(configuration, &source);
         }
+        let version = state.summary.configuration_version;
+        let next_offset = state.configuration_next_offset;
+        let is_offset_known = self
+            .cache()
+            .adopt_configuration_offset(version, next_offset);
+        if is_offset_known {
+            self.reads.mark_configuration_known();
+        }
     }
 
     /// Sends the state summary to a few random VMs immediately.
--- a/src/gateway/control_thread/fleet_service.rs
+++ b/src/gateway/control_thread/fleet_service.rs
@@ -34,6 +34,10 @@
     /// Change to the configuration in force, if the requester's is older.
     #[serde(rename = "configuration_part", default)]
     pub configuration: Option<pulled_configuration::PulledConfiguration>,
+    /// Offset at which to continue reading the configuration's changes; `None` if the
+    /// sender does not know it.
+    #[serde(default)]
+    pub configuration_next_offset: Option<u64>,
     /// Versions and age of the sent state.
     #[serde(rename = "news")]
     pub summary: gateway::StateSummary,
--- a/src/gateway/control_thread/store_cache.rs
+++ b/src/gateway/control_thread/store_cache.rs
@@ -144,6 +144,18 @@
         }
     }
 
+    /// Adopts the offset at which a peer continues to read the configuration's changes,
+    /// and returns whether the offset of this copy is known.
+    ///
+    /// A copy that lacks the peer's version keeps its own offset, since the record of
+    /// that version lies between the two.
+    pub fn adopt_configuration_offset(&mut self, version: u64, next_offset: Option<u64>) -> bool {
+        if version <= self.configuration_version() {
+            self.configuration_next_offset = self.configuration_next_offset.max(next_offset);
+        }
+        self.configuration_next_offset.is_some()
+    }
+
     /// Returns the versions and the age of this copy.
     #[must_use]
     pub fn summary(&self, now_ms: u64) -> gateway::StateSummary {
@@ -190,6 +202,7 @@
         fleet_service::PulledState {
             configuration: change
                 .map(|change| pulled_configuration::PulledConfiguration::first_reply(&change)),
+            configuration_next_offset: cache.configuration_next_offset,
             has_more_rows: rows.len() == max_rows,
             is_complete,
             summary: cache.summary(now_ms),
--- a/src/gateway/control_thread/store_reads.rs
+++ b/src/gateway/control_thread/store_reads.rs
@@ -185,6 +185,12 @@
         self.backends.needs_full_read = false;
     }
 
+    /// Records that the offset of the configuration's next change was pulled from a
+    /// peer, so that the next read starts there.
+    pub const fn mark_configuration_known(&mut self) {
+        self.configuration.needs_full_read = false;
+    }
+
     /// Records the result of a read of the registry. Returns `true` if the store
     /// failed.
     pub fn finish_registry_read(&mut self, error: Option<&ports::StoreError>) -> bool {
