Let a read of the store go on while bytes arrive

A VM with a link of 10 Mbit/s could not read a configuration of a megabyte at all: a read had 800 ms for the whole response, was broken off and began anew. With the other VMs waiting for their readers, that would hold up a region.

The 800 ms now apply to the begin of a response and to each pause in it. A read ends after 5 s in any case (store_transfer_timeout_ms).

configuration_that_arrives_slowly_is_read failed before: the VM was not ready after 10 s.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -48,8 +48,8 @@
     /// Share of the contract's retry slack that is distributed to the entry
     /// VMs, in percent.
     pub retry_slack_percent: u64,
-    /// Timeout of one call to the store, in milliseconds, not counting
-    /// `store_wait_ms`.
+    /// Time within which the store must begin its response to a call, not counting
+    /// `store_wait_ms`, and send each further part of it, in milliseconds.
     pub store_call_timeout_ms: u64,
     /// Delay between two reads of a feed by one VM, in milliseconds.
     pub store_read_interval_ms: u64,
@@ -58,6 +58,9 @@
     /// Age of a VM's last update of the registry or configuration at which the
     /// VM reads the store itself, in milliseconds.
     pub store_stale_ms: u64,
+    /// Maximum time that one read of the store takes, in milliseconds, not counting
+    /// `store_wait_ms`.
+    pub store_transfer_timeout_ms: u64,
     /// Maximum time for which one read of the store waits for a change, in
     /// milliseconds.
     pub store_wait_ms: u64,
@@ -172,10 +175,10 @@
             retry_slack_percent: 50,
             server_use: ServerUseConfig::default(),
             store_call_timeout_ms: 800,
-
             store_read_interval_ms: 300,
             store_readers_per_region: 2,
             store_stale_ms: 2_000,
+            store_transfer_timeout_ms: 5_000,
             store_wait_ms: 1_000,
             suspicion: SuspicionConfig::default(),
             unacknowledged_timeout_ms: 6_000,
@@ -224,6 +227,10 @@
             ("news_interval_ms", settings.news_interval_ms),
             ("store_read_interval_ms", settings.store_read_interval_ms),
             ("store_call_timeout_ms", settings.store_call_timeout_ms),
+            (
+                "store_transfer_timeout_ms",
+                settings.store_transfer_timeout_ms,
+            ),
         ];
         let percent = [
             (
@@ -258,8 +265,15 @@
         time::Duration::from_millis(self.store_wait_ms)
     }
 
-    /// Returns the timeout of one call to the store, not counting its wait for
-    /// a change.
+    /// Returns the maximum time that one read of the store takes, not counting its
+    /// wait for a change.
+    #[must_use]
+    pub const fn store_transfer_timeout(&self) -> time::Duration {
+        time::Duration::from_millis(self.store_transfer_timeout_ms)
+    }
+
+    /// Returns the time within which the store must begin its response to a call, not
+    /// counting its wait for a change, and send each further part of it.
     #[must_use]
     pub const fn store_call_timeout(&self) -> time::Duration {
         time::Duration::from_millis(self.store_call_timeout_ms)
--- a/src/gateway/control_thread/store_reads.rs
+++ b/src/gateway/control_thread/store_reads.rs
@@ -208,7 +208,7 @@
     fn start_registry_read(&self, from: Option<u64>) {
         let feed = sync::Arc::clone(&self.ports.backends);
         let wait = self.shared.config.store_wait();
-        let timeout = self.shared.config.store_call_timeout();
+        let timeout = self.shared.config.store_transfer_timeout();
         let events = self.events.clone();
         let begun_ms = self.shared.now_ms();
         self.shared.metrics.counters.add("store.registry-read");
@@ -227,7 +227,7 @@
     fn start_configuration_read(&self, from: Option<u64>) {
         let feed = sync::Arc::clone(&self.ports.configuration);
         let wait = self.shared.config.store_wait();
-        let timeout = self.shared.config.store_call_timeout();
+        let timeout = self.shared.config.store_transfer_timeout();
         let events = self.events.clone();
         self.shared.metrics.counters.add("store.configuration-read");
         tokio::spawn(async move {
