Keep to the limits that backend servers name

Servers in need got as many requests as before: nothing read the header Server-Limit.

A VM now reads the limit in each response that is surely the server's own, and each request to such a server counts on all VMs that are advertised to callers: the sender tells them when it sends it. A server is no candidate while its limit is used up, also not for second attempts, suspects or the minimum share in use. The limit ends with a response that names none, to a request sent after it was named. If limits are all that is in the way, the request is refused at once with the time at which the first server takes one again.

A share of the limit for each VM was weighed: it would be left unused, or add up to more than the limit as soon as the VMs send together.

--- a/src/daemon/traffic_threads/reply.rs
+++ b/src/daemon/traffic_threads/reply.rs
@@ -71,6 +71,7 @@
         | Reason::NoConfiguration
         | Reason::NoServer
         | Reason::QueueFull
+        | Reason::ServerLimit
         | Reason::ServerShed
         | Reason::ServiceLimit => http::StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -1,6 +1,8 @@
 //! Load and health of the backend servers, and the choice of a server for each
 //! request.
 
+mod named_limits;
+
 use std::net;
 use std::sync;
 
@@ -147,14 +149,16 @@
         server.in_flight += 1;
         server.sent_count += 1;
         server.last_sent_ms = now_ms;
+        let backend = sync::Arc::clone(&server.backend);
         Some(gateway::Choice {
-            backend: sync::Arc::clone(&server.backend),
             candidate_count: candidates.len(),
             in_flight,
-            is_same_region: request.region == server.backend.region,
+            is_same_region: request.region == backend.region,
             is_probe,
             incarnation,
+            limit_notice: self.count_towards_limit(now_ms, incarnation),
             suspicion,
+            backend,
         })
     }
 
@@ -321,23 +325,32 @@
         });
     }
 
-    /// Returns the ready servers that the request has not tried, each with the
-    /// probability that it is failing.
+    /// Returns the servers that the request has not tried and that may be sent a
+    /// request now, each with the probability that it is failing.
     fn candidates(&self, now_ms: u64, request: &gateway::ChoiceRequest<'_>) -> Vec<(u64, f64)> {
-        let incarnations = self.by_service.get(request.service);
+        let open = self
+            .untried_servers(request)
+            .filter(|(_, server)| server.allows_request(now_ms));
+        open.map(|(incarnation, server)| {
+            let suspicion = server.suspicion.probability(&self.config, now_ms);
+            (incarnation, suspicion)
+        })
+        .collect()
+    }
+
+    /// Returns the ready servers that the request has not tried.
+    fn untried_servers(
+        &self,
+        request: &gateway::ChoiceRequest<'_>,
+    ) -> impl Iterator<Item = (u64, &tracked_server::TrackedServer)> {
+        let incarnations = self.by_service.get(request.service).into_iter().flatten();
         incarnations
-            .into_iter()
-            .flatten()
             .filter(|incarnation| !request.excluded.contains(incarnation))
             .filter_map(|incarnation| {
                 let server = self.servers.get(incarnation)?;
                 let is_ready = server.backend.state == ports::BackendState::Ready;
-                is_ready.then(|| {
-                    let suspicion = server.suspicion.probability(&self.config, now_ms);
-                    (*incarnation, suspicion)
-                })
+                is_ready.then_some((*incarnation, server))
             })
-            .collect()
     }
 
     /// Returns the servers that must receive the next requests to keep the minimum
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use crate::gateway;
 use crate::ports;
 
 /// Criteria for the choice of a backend server.
@@ -41,6 +42,8 @@
     pub is_probe: bool,
     /// Incarnation of the server.
     pub incarnation: u64,
+    /// Notice of this request for the other VMs if the server has named a limit.
+    pub limit_notice: Option<gateway::LimitNotice>,
     /// Probability that the server is failing.
     pub suspicion: f64,
 }
--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -123,7 +123,7 @@
         loop {
             tokio::select! {
                 Some(event) = events.recv() => self.handle(event),
-                Some(message) = outbox.recv() => self.send_to_region(&message),
+                Some(message) = outbox.recv() => self.send_to_peers(&message),
                 _ = ticks.tick() => self.tick(),
             }
         }
@@ -338,6 +338,10 @@
                     pool.record_peer_evidence(now_ms, incarnation, evidence);
                 });
             }
+            gateway::FleetMessage::Limit(notice) => {
+                self.shared
+                    .update_backend_pool(|pool| pool.apply_limit_notice(now_ms, notice));
+            }
             gateway::FleetMessage::Load(report) => {
                 self.shared
                     .update_backend_pool(|pool| pool.apply_report(now_ms, from, &report));
@@ -431,21 +435,25 @@
         let report = self.shared.backend_pool().take_report();
         let is_empty = report.is_empty();
         if !is_empty || !self.was_last_report_empty {
-            self.send_to_region(&gateway::FleetMessage::Load(report));
+            self.send_to_peers(&gateway::FleetMessage::Load(report));
         }
         self.was_last_report_empty = is_empty;
     }
 
-    /// Sends a message to the VMs that serve this region's requests. Summaries of
-    /// requests that crash servers are sent to all VMs.
-    fn send_to_region(&self, message: &gateway::FleetMessage) {
-        let receivers: Vec<net::SocketAddr> =
-            if matches!(message, gateway::FleetMessage::Quarantine(_)) {
+    /// Sends a message of the traffic thread to the VMs that it concerns.
+    ///
+    /// Summaries of requests that crash servers concern all VMs, limits of servers
+    /// those that serve requests of any region, and everything else those that serve
+    /// this region's requests.
+    fn send_to_peers(&self, message: &gateway::FleetMessage) {
+        let receivers = match message {
+            gateway::FleetMessage::Quarantine(_) => {
                 let peers = self.members.peers().iter();
                 peers.map(|peer| peer.address).collect()
-            } else {
-                self.members.advertised_region_peers()
-            };
+            }
+            gateway::FleetMessage::Limit(_) => self.members.advertised_peers(),
+            _ => self.members.advertised_region_peers(),
+        };
         self.datagrams.send_to_all(message, &receivers);
     }
 }
--- a/src/gateway/control_thread/fleet_message.rs
+++ b/src/gateway/control_thread/fleet_message.rs
@@ -32,6 +32,8 @@
     Quarantine(health::QuarantineSummary),
     /// Reply to a state summary that is older than the sender's.
     StateSummaryReply(StateSummary),
+    /// Limit of a backend server, or a request that counts towards it.
+    Limit(gateway::LimitNotice),
 }
 
 /// Versions and age of an entry VM's copy of the store.
--- a/src/gateway/control_thread/members.rs
+++ b/src/gateway/control_thread/members.rs
@@ -213,8 +213,18 @@
     /// Returns the peer addresses of the VMs that are advertised to callers of
     /// this region and so serve its requests.
     pub fn advertised_region_peers(&self) -> Vec<net::SocketAddr> {
+        self.advertised_peers_of(Some(&self.shared.identity.region))
+    }
+
+    /// Returns the peer addresses of the VMs that are advertised to callers of any
+    /// region.
+    pub fn advertised_peers(&self) -> Vec<net::SocketAddr> {
+        self.advertised_peers_of(None)
+    }
+
+    fn advertised_peers_of(&self, region: Option<&str>) -> Vec<net::SocketAddr> {
         let vms = self.entry_vms();
-        let advertised = self.advertised_addresses(&vms, Some(&self.shared.identity.region));
+        let advertised = self.advertised_addresses(&vms, region);
         let peers = self.peers.iter();
         let advertised_peers = peers.filter(|peer| advertised.contains(&peer.caller_address));
         advertised_peers.map(|peer| peer.address).collect()
--- a/src/gateway/health_change.rs
+++ b/src/gateway/health_change.rs
@@ -5,6 +5,17 @@
 /// A change of the health of a server or a service, as assessed by this VM.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HealthChange {
+    /// A server named a limit on its requests, or none any more.
+    Limit {
+        /// Whether the limit was named to this VM, not to another one.
+        is_own: bool,
+        /// Requests a second from all VMs together; `None` if there is no limit.
+        limit_per_s: Option<f64>,
+        /// Id of the server.
+        server: String,
+        /// Name of the server's service.
+        service: String,
+    },
     /// A server became suspect of failing, or ceased to be.
     Server {
         /// Whether the evidence came from a request of this VM, not of another VM.
@@ -36,6 +47,11 @@
     #[must_use]
     pub const fn name(&self) -> &'static str {
         match self {
+            Self::Limit {
+                limit_per_s: Some(_),
+                ..
+            } => "server.limited",
+            Self::Limit { .. } => "server.unlimited",
             Self::Server {
                 is_suspect: true, ..
             } => "server.suspected",
@@ -48,10 +64,27 @@
     }
 }
 
+const fn source(is_own: bool) -> &'static str {
+    if is_own { "own" } else { "peer" }
+}
+
 impl fmt::Display for HealthChange {
     /// Formats the change as the fields of a log line.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Limit {
+                is_own,
+                limit_per_s,
+                server,
+                service,
+            } => {
+                let source = source(*is_own);
+                write!(
+                    formatter,
+                    "service={service} server={server} source={source}"
+                )?;
+                limit_per_s.map_or(Ok(()), |per_s| write!(formatter, " limit_per_s={per_s}"))
+            }
             Self::Server {
                 is_own,
                 server,
@@ -59,7 +92,7 @@
                 suspicion,
                 ..
             } => {
-                let source = if *is_own { "own" } else { "peer" };
+                let source = source(*is_own);
                 write!(
                     formatter,
                     "service={service} server={server} suspicion={suspicion:.2} source={source}"
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -111,6 +111,30 @@
         }
     }
 
+    /// Records the limit that a server names in the response to a request sent at
+    /// `sent_ms`, or that it names none, and notifies the other VMs of a change.
+    pub fn record_named_limit(
+        &self,
+        choice: &gateway::Choice,
+        sent_ms: u64,
+        limit_per_s: Option<f64>,
+    ) {
+        let now_ms = self.now_ms();
+        let notice = self.update_backend_pool(|pool| {
+            pool.record_named_limit(now_ms, choice.incarnation, sent_ms, limit_per_s)
+        });
+        if let Some(notice) = notice {
+            self.enqueue(gateway::FleetMessage::Limit(notice));
+        }
+    }
+
+    /// Notifies the other VMs of a request that counts towards the limit of its server.
+    pub fn announce_limited_request(&self, choice: &gateway::Choice) {
+        if let Some(notice) = choice.limit_notice {
+            self.enqueue(gateway::FleetMessage::Limit(notice));
+        }
+    }
+
     /// Records that a server died while it ran a request, and sends the quarantine's
     /// summary to the other VMs if it has one.
     pub fn record_server_death(&self, fingerprint: u64, ran_ms: u64, server_id: &str) {
--- a/src/gateway/tracked_server.rs
+++ b/src/gateway/tracked_server.rs
@@ -22,6 +22,8 @@
     pub(super) last_sent_ms: u64,
     /// When this VM first saw the registration.
     pub(super) registered_ms: u64,
+    /// Limit that the server has named; `None` if it names none.
+    pub(super) send_limit: Option<gateway::SendLimit>,
     /// Number of requests that this VM sent since its last load report.
     pub(super) sent_count: u32,
     /// When the server last refused a request because all its slots were taken;
@@ -48,6 +50,7 @@
             is_suspect: false,
             last_sent_ms: now_ms,
             registered_ms: now_ms,
+            send_limit: None,
             sent_count: 0,
             last_shed_ms: None,
             success_count: 0,
@@ -56,6 +59,11 @@
         }
     }
 
+    /// Returns whether the server may be sent a request now.
+    pub(super) fn allows_request(&self, now_ms: u64) -> bool {
+        self.send_limit.is_none_or(|limit| limit.allows(now_ms))
+    }
+
     /// Records the evidence from `count` requests on the server.
     ///
     /// Returns the health change if the server became suspect or ceased to be.
--- a/src/gateway/traffic_thread/attempt.rs
+++ b/src/gateway/traffic_thread/attempt.rs
@@ -9,6 +9,7 @@
 use crate::gateway::traffic_thread::response;
 use crate::gateway::traffic_thread::response_stream;
 use crate::gateway::traffic_thread::routed_request;
+use crate::gateway::traffic_thread::server_statement;
 use crate::http1;
 use crate::verdict;
 
@@ -85,6 +86,7 @@
         return AttemptOutcome::Failed(AttemptFailure::not_sent());
     };
     let request = backend_request(shared, routed, choice, body);
+    let sent_ms = shared.now_ms();
     let exchange = connection.exchange(request);
     let head = match tokio::time::timeout_at(routed.deadline, exchange).await {
         Ok(Ok(head)) => head,
@@ -100,7 +102,11 @@
             return AttemptOutcome::Failed(AttemptFailure::unanswered(reason));
         }
     };
-    if is_refusal(shared, routed, &head, is_new) {
+    let is_refusal = is_refusal(shared, routed, &head, is_new);
+    if (is_refusal && !is_misdirected(&head)) || has_matching_id(shared, routed, &head) {
+        record_statement(shared, choice, sent_ms, head.headers());
+    }
+    if is_refusal {
         return handle_server_refusal(shared, choice, connection, head);
     }
     read_response(shared, routed, choice, connection, head).await
@@ -117,15 +123,45 @@
     head: &http::Response<hyper::body::Incoming>,
     is_first_response: bool,
 ) -> bool {
-    let is_not_run = head.headers().contains_key(&shared.headers.not_run)
-        || head.status() == http::StatusCode::MISDIRECTED_REQUEST;
-    let is_own = match head.headers().get(&shared.headers.request_id) {
-        Some(echoed) => echoed.as_bytes() == routed.request_id.as_bytes(),
-        None => is_first_response,
-    };
+    let is_not_run = head.headers().contains_key(&shared.headers.not_run) || is_misdirected(head);
+    let has_id = head.headers().contains_key(&shared.headers.request_id);
+    let is_own = has_matching_id(shared, routed, head) || (!has_id && is_first_response);
     is_not_run && is_own
 }
 
+/// Returns whether the server at this address is another one than expected.
+fn is_misdirected(head: &http::Response<hyper::body::Incoming>) -> bool {
+    head.status() == http::StatusCode::MISDIRECTED_REQUEST
+}
+
+fn has_matching_id(
+    shared: &gateway::Shared,
+    routed: &routed_request::RoutedRequest<'_>,
+    head: &http::Response<hyper::body::Incoming>,
+) -> bool {
+    let echoed = head.headers().get(&shared.headers.request_id);
+    echoed.is_some_and(|echoed| echoed.as_bytes() == routed.request_id.as_bytes())
+}
+
+/// Records what a server states about itself in a response of its own.
+fn record_statement(
+    shared: &gateway::Shared,
+    choice: &gateway::Choice,
+    sent_ms: u64,
+    headers: &http::HeaderMap,
+) {
+    let statement = server_statement::read(&shared.headers, headers);
+    match statement.unreadable {
+        None => shared.record_named_limit(choice, sent_ms, statement.limit_per_s),
+        Some(limit) => {
+            shared.metrics.counters.add("server.limit-unreadable");
+            shared.decision_log.record("server.limit-unreadable", || {
+                format!("server={} limit={limit:?}", choice.backend.id)
+            });
+        }
+    }
+}
+
 /// Returns a connection to the server, and whether it is a new one.
 async fn connect(
     shared: &gateway::Shared,
@@ -193,9 +229,7 @@
     head: http::Response<hyper::body::Incoming>,
 ) -> AttemptOutcome {
     let header_names = &shared.headers;
-    let echoed = head.headers().get(&header_names.request_id);
-    let has_matching_id =
-        echoed.is_some_and(|echoed| echoed.as_bytes() == routed.request_id.as_bytes());
+    let has_matching_id = has_matching_id(shared, routed, &head);
     let is_signed = head.headers().contains_key(&header_names.signature);
     if !has_matching_id || (head.status().is_success() && !is_signed) {
         let reason = verdict::RefusalReason::AnswerMismatched;
@@ -254,7 +288,7 @@
     connection: http1::ClientConnection,
     head: http::Response<hyper::body::Incoming>,
 ) -> AttemptOutcome {
-    let is_misdirected = head.status() == http::StatusCode::MISDIRECTED_REQUEST;
+    let is_misdirected = is_misdirected(&head);
     let idle_time = idle_time(shared, head.headers()).filter(|_| !is_misdirected);
     if let Some(idle_time) = idle_time {
         let incarnation = choice.incarnation;
--- a/src/gateway/traffic_thread/mod.rs
+++ b/src/gateway/traffic_thread/mod.rs
@@ -12,4 +12,5 @@
 pub(super) mod response;
 pub(super) mod response_stream;
 pub(super) mod routed_request;
+pub(super) mod server_statement;
 pub(super) mod status_endpoints;
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -187,8 +187,8 @@
     loop {
         wait_after_pause(shared).await;
         let Some(choice) = choose(shared, routed, history) else {
-            let reason = verdict::RefusalReason::NoServer;
-            return history.final_response(shared, routed, reason, NO_SERVER_RETRY_AFTER_MS);
+            let (reason, retry_after_ms) = no_server(shared, routed, history);
+            return history.final_response(shared, routed, reason, retry_after_ms);
         };
         let server_guard = in_flight::ServerInFlightGuard::begin(shared, choice.incarnation);
         if is_deadline_unmeetable(shared, routed, &choice) {
@@ -197,6 +197,7 @@
             let reason = verdict::RefusalReason::QueueFull;
             return history.final_response(shared, routed, reason, retry_after_ms);
         }
+        shared.announce_limited_request(&choice);
         let started_at = time::Instant::now();
         let outcome = run_attempt(shared, routed, &choice, body.attempt_body()).await;
         let ran_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -264,9 +265,34 @@
     routed: &routed_request::RoutedRequest<'_>,
     history: &attempt_history::AttemptHistory,
 ) -> Option<gateway::Choice> {
+    let request = choice_request(shared, routed, history);
+    shared.backend_pool().choose(shared.now_ms(), &request)
+}
+
+/// Returns why there is no server for a request, and the time after which there may
+/// be one, in milliseconds.
+fn no_server(
+    shared: &gateway::Shared,
+    routed: &routed_request::RoutedRequest<'_>,
+    history: &attempt_history::AttemptHistory,
+) -> (verdict::RefusalReason, u64) {
+    let request = choice_request(shared, routed, history);
+    let Some(open_ms) = shared.backend_pool().next_open_ms(&request) else {
+        return (verdict::RefusalReason::NoServer, NO_SERVER_RETRY_AFTER_MS);
+    };
+    let wait_ms = open_ms.saturating_sub(shared.now_ms());
+    let retry_after_ms = wait_ms + gateway::retry_after_ms(0.0, shared.random_value());
+    (verdict::RefusalReason::ServerLimit, retry_after_ms)
+}
+
+fn choice_request<'a>(
+    shared: &'a gateway::Shared,
+    routed: &'a routed_request::RoutedRequest<'_>,
+    history: &'a attempt_history::AttemptHistory,
+) -> gateway::ChoiceRequest<'a> {
     let is_upload = routed.route.kind == ports::RequestKind::Upload;
     let distance = &shared.config.distance;
-    let request = gateway::ChoiceRequest {
+    gateway::ChoiceRequest {
         availability_zone: &shared.identity.availability_zone,
         random_value: shared.random_value(),
         excluded: &history.incarnations,
@@ -282,8 +308,7 @@
         } else {
             distance.zone_cost
         },
-    };
-    shared.backend_pool().choose(shared.now_ms(), &request)
+    }
 }
 
 fn is_deadline_unmeetable(
--- a/src/ports/header_names.rs
+++ b/src/ports/header_names.rs
@@ -15,6 +15,9 @@
     pub not_run: header::HeaderName,
     /// Id of one attempt of a caller; backend servers echo it.
     pub request_id: header::HeaderName,
+    /// Requests a second that a backend server takes from all VMs together, in its
+    /// responses.
+    pub send_limit: header::HeaderName,
     /// Signature that a backend server adds to its responses.
     pub signature: header::HeaderName,
 }
--- a/src/verdict/refusal_reason.rs
+++ b/src/verdict/refusal_reason.rs
@@ -46,6 +46,8 @@
     Quarantined,
     /// The request is malformed.
     RequestInvalid,
+    /// The backend servers have named limits that are used up.
+    ServerLimit,
     /// The backend server refused the request without running it.
     ServerShed,
     /// The capacity of this entry VM for the service or the priority of the
@@ -78,6 +80,7 @@
             Self::Quarantined => "quarantined",
             Self::QueueFull => "queue-full",
             Self::RequestInvalid => "request-invalid",
+            Self::ServerLimit => "server-limit",
             Self::ServerShed => "server-shed",
             Self::ServiceLimit => "service-limit",
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -14,6 +14,8 @@
 mod fixtures;
 #[path = "gateway/full_read.rs"]
 mod full_read;
+#[path = "gateway/named_limits.rs"]
+mod named_limits;
 #[path = "gateway/pause_detector.rs"]
 mod pause_detector;
 #[path = "gateway/pull_schedule.rs"]
