Count the age of a pulled state from the begin of the pull

A VM that was paused while a pull was on its way took the reply for fresh: the ages in it counted from the time at which it was handled, and the requests that waited for a confirmation went on to servers that may have left. A pull that took a second over a slow link was taken for a second too fresh.

The ages now count from the begin of the pull, and the configuration is confirmed after it is in force, not before.

pull_that_waited_during_a_pause_confirms_nothing failed before.

--- a/src/gateway/control_thread/control/state_exchange.rs
+++ b/src/gateway/control_thread/control/state_exchange.rs
@@ -11,6 +11,9 @@
 
 /// Number of VMs of the region that are notified immediately of new state.
 const URGENT_REGION_RECEIVER_COUNT: usize = 3;
+/// Maximum time for which a datagram is taken to be on its way, in milliseconds. It
+/// covers the transit between regions and the wait in a queue.
+const MAX_TRANSIT_MS: u64 = 50;
 
 impl control::Control {
     /// Applies the summary of another entry VM, and starts a pull from that VM if
@@ -30,7 +33,8 @@
             }
             cache.heard_version = cache.heard_version.max(summary.newest_known_version);
             if !self.shared.pause_detector().may_be_backlog(now_ms) {
-                cache.confirm_from_peer(now_ms, &summary);
+                let sent_ms = now_ms.saturating_sub(MAX_TRANSIT_MS);
+                cache.confirm_from_peer(now_ms, sent_ms, &summary);
             }
             (
                 cache.backends.revision(),
@@ -129,7 +133,7 @@
             )
         });
         let source = format!("peer={from}");
-        let (changes, updated_configuration, is_registry_known) = {
+        let (changes, updated_configuration) = {
             let mut cache = self.cache();
             let update = gateway::TableUpdate {
                 is_complete: state.is_complete,
@@ -138,13 +142,20 @@
                 rows: state.rows,
             };
             let changes = cache.backends.merge(now_ms, update);
-            cache.confirm_from_peer(now_ms, &state.summary);
             let base = cache.routes().map(|routes| routes.configuration.as_ref());
             let change = state
                 .configuration
                 .map(pulled_configuration::PulledConfiguration::into_change);
             let updated = change.and_then(|change| change.apply(base));
-            (changes, updated, store_cache::is_registry_known(&cache))
+            (changes, updated)
+        };
+        if let Some(configuration) = updated_configuration {
+            self.put_in_force(configuration, &source);
+        }
+        let is_registry_known = {
+            let mut cache = self.cache();
+            cache.confirm_from_peer(now_ms, begun_ms, &state.summary);
+            store_cache::is_registry_known(&cache)
         };
         if is_registry_known {
             self.reads.mark_registry_complete();
@@ -152,9 +163,6 @@
         self.apply_backend_changes(&changes, &source);
         self.record_confirmation();
         self.publish_first_registry();
-        if let Some(configuration) = updated_configuration {
-            self.put_in_force(configuration, &source);
-        }
         let version = state.summary.configuration_version;
         let next_offset = state.configuration_next_offset;
         let is_offset_known = self
--- a/src/gateway/control_thread/store_cache.rs
+++ b/src/gateway/control_thread/store_cache.rs
@@ -10,9 +10,6 @@
 use crate::gateway::control_thread::pulled_configuration;
 use crate::ports;
 
-/// Time added to the ages that a peer sends, in milliseconds. It covers the
-/// transit between regions and the wait in a queue.
-const MAX_TRANSIT_MS: u64 = 50;
 /// Number of earlier configurations kept for computing the change that a peer
 /// needs. A VM is seldom further behind.
 const MAX_EARLIER_CONFIGURATIONS: usize = 16;
@@ -129,8 +126,15 @@
 
     /// Applies a peer's confirmation that the registry or the configuration is
     /// the newest, where this copy is at the same revision or version.
-    pub fn confirm_from_peer(&mut self, now_ms: u64, summary: &gateway::StateSummary) {
-        let confirmed = |age_ms: u64| now_ms.saturating_sub(age_ms + MAX_TRANSIT_MS);
+    ///
+    /// `sent_ms` is the earliest time at which the peer may have made the summary.
+    pub fn confirm_from_peer(
+        &mut self,
+        now_ms: u64,
+        sent_ms: u64,
+        summary: &gateway::StateSummary,
+    ) {
+        let confirmed = |age_ms: u64| sent_ms.saturating_sub(age_ms);
         if summary.registry_revision == self.backends.revision()
             && let Some(age_ms) = summary.registry_age_ms
         {
--- a/tests/gateway/pause_detector.rs
+++ b/tests/gateway/pause_detector.rs
@@ -1,5 +1,8 @@
 //! Tests of the detection of pauses of the process.
 
+use std::sync;
+
+use foxtailwinch::context;
 use foxtailwinch::gateway;
 
 /// Guards against requests that go on with a state that ran out while the process was
@@ -40,3 +43,21 @@
     assert!(detector.may_be_backlog(5_099));
     assert!(!detector.may_be_backlog(5_100));
 }
+
+/// Guards against a paused VM that goes on with outdated state: the reply to a pull
+/// that began before the pause waited in the socket and counted as fresh.
+#[test]
+fn pull_that_waited_during_a_pause_confirms_nothing() {
+    let mut detector = gateway::PauseDetector::new(0);
+    detector.record_sign(1_050);
+    assert!(detector.must_wait(4_050), "paused since 1,100");
+    let mut cache = gateway::StoreCache::new(sync::Arc::new(context::ManualClock::default()));
+    let summary = gateway::StateSummary {
+        registry_age_ms: Some(20),
+        ..gateway::StateSummary::default()
+    };
+    cache.confirm_from_peer(4_200, 1_000, &summary);
+    let confirmed_ms = cache.backends.confirmed_ms().expect("a confirmation");
+    detector.record_confirmation(confirmed_ms);
+    assert!(detector.must_wait(4_210));
+}
