Use the proven servers of all zones while a service is degraded

At the large site, more than half of the sound servers of a service got nothing for two seconds while many requests failed.

While a service is degraded, the zone costs nothing on servers that must be used, and those that registered first come first. The VMs choose among as many as get requests between two load reports, five at least, so that they do not all send to the same one.

Both tests of tests/gateway/degraded_use.rs failed before, and each fails without its part of the change.

--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -122,23 +122,34 @@
     ///
     /// Chooses the server with the lowest cost: its load, plus costs for distance,
     /// recent refusals, failed connections and suspicion. Suspicion costs nothing
-    /// on servers that must receive a request to keep the minimum share in use.
+    /// on servers that must receive a request to keep the minimum share in use, and
+    /// while the service is degraded, their zone costs nothing either.
+    ///
+    /// Load pattern: the servers of a service are spread unevenly over the zones, and
+    /// many of them fail. If the VMs kept to the servers of their own zone, those of a
+    /// zone with few callers would get no requests for seconds.
     pub fn choose(
         &mut self,
         now_ms: u64,
         request: &gateway::ChoiceRequest<'_>,
     ) -> Option<gateway::Choice> {
         let candidates = self.candidates(now_ms, request);
-        let required = self.required_servers(now_ms, &candidates, request);
+        let is_degraded = self.is_degraded(now_ms, request.service);
+        let required = self.required_servers(now_ms, &candidates, is_degraded, request);
+        let any_zone = gateway::ChoiceRequest {
+            zone_cost: 0.0,
+            ..*request
+        };
+        let required_request = if is_degraded { &any_zone } else { request };
         let best = candidates
             .iter()
             .filter_map(|&(incarnation, suspicion)| {
                 let is_required = required.contains(&incarnation);
-                let effective_suspicion = if is_required { 0.0 } else { suspicion };
-                let mut cost = self.cost(now_ms, incarnation, effective_suspicion, request)?;
-                if is_required {
-                    cost -= REQUIRED_SERVER_BONUS;
-                }
+                let cost = if is_required {
+                    self.cost(now_ms, incarnation, 0.0, required_request)? - REQUIRED_SERVER_BONUS
+                } else {
+                    self.cost(now_ms, incarnation, suspicion, request)?
+                };
                 let is_probe = is_required && suspicion >= tracked_server::SUSPECT_PROBABILITY;
                 Some((cost, incarnation, suspicion, is_probe))
             })
@@ -362,6 +373,7 @@
         &self,
         now_ms: u64,
         candidates: &[(u64, f64)],
+        is_degraded: bool,
         request: &gateway::ChoiceRequest<'_>,
     ) -> Vec<u64> {
         let same_region = candidates.iter().filter_map(|&(incarnation, suspicion)| {
@@ -369,19 +381,26 @@
             (server.backend.region == request.region).then(|| use_floor::FloorCandidate {
                 is_used: self.is_used(now_ms, server, request.random_value),
                 incarnation,
+                registered_ms: server.registered_ms,
                 suspicion,
             })
         });
         let same_region: Vec<use_floor::FloorCandidate> = same_region.collect();
         let health = self.services.get(&service_hash(request.service));
-        let is_degraded = health
-            .is_some_and(|health| health.is_degraded(now_ms, self.server_use.trouble_percent));
-        let share_permille = if is_degraded {
-            PERMILLE
-        } else {
-            self.min_share_permille + self.server_use.share_margin_percent * PERMILLE / PERCENT
+        let margin_permille = self.server_use.share_margin_percent * PERMILLE / PERCENT;
+        let required = use_floor::RequiredUse {
+            is_degraded,
+            recent_request_count: health.map_or(0, |health| health.recent_request_count(now_ms)),
+            share_permille: self.min_share_permille + margin_permille,
         };
-        use_floor::required_servers(&same_region, share_permille)
+        use_floor::required_servers(&same_region, required)
+    }
+
+    /// Returns whether so many of a service's recent requests failed that all of its
+    /// servers are used.
+    fn is_degraded(&self, now_ms: u64, service: &str) -> bool {
+        let health = self.services.get(&service_hash(service));
+        health.is_some_and(|health| health.is_degraded(now_ms, self.server_use.trouble_percent))
     }
 
     /// Returns whether a server received a request recently enough to count as used.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -74,4 +74,4 @@
 pub use suspicion::{Evidence, Suspicion};
 pub use table_update::TableUpdate;
 pub use traffic_thread::backend_connections::BackendConnections;
-pub use use_floor::{FloorCandidate, required_servers};
+pub use use_floor::{FloorCandidate, RequiredUse, required_servers};
--- a/src/gateway/service_health.rs
+++ b/src/gateway/service_health.rs
@@ -51,6 +51,17 @@
         self.updated_ms = now_ms;
     }
 
+    /// Returns the decayed number of recent requests.
+    pub(super) fn recent_request_count(&self, now_ms: u64) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a count is positive and small"
+        )]
+        let count = (self.requests * self.retained_share(now_ms)) as usize;
+        count
+    }
+
     /// Returns whether more than `degraded_percent` of the recent requests failed.
     pub(super) fn is_degraded(&self, now_ms: u64, degraded_percent: u64) -> bool {
         let has_enough_requests = self.requests * self.retained_share(now_ms) >= MIN_REQUEST_COUNT;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod cold_start;
 #[path = "gateway/configuration_spread.rs"]
 mod configuration_spread;
+#[path = "gateway/degraded_use.rs"]
+mod degraded_use;
 #[path = "gateway/entry_points.rs"]
 mod entry_points;
 #[path = "gateway/fixtures.rs"]
--- a/tests/gateway/backend_pool.rs
+++ b/tests/gateway/backend_pool.rs
@@ -261,11 +261,19 @@
         gateway::FloorCandidate {
             is_used: suspicion < 0.5,
             incarnation,
+            registered_ms: 0,
             suspicion,
         }
     });
-    let healthy = gateway::required_servers(&candidates, 750);
-    let degraded = gateway::required_servers(&candidates, 1_000);
+    let required = |is_degraded| {
+        let required = gateway::RequiredUse {
+            is_degraded,
+            recent_request_count: 100,
+            share_permille: 750,
+        };
+        gateway::required_servers(&candidates, required)
+    };
+    let (healthy, degraded) = (required(false), required(true));
     expect_test::expect!["healthy [6, 7], degraded [6, 7, 9]"]
         .assert_eq(&format!("healthy {healthy:?}, degraded {degraded:?}"));
 }
