Relay requests to other VMs while no server can be reached

Cause: a failed connection was held against its server for 1.5 s and against nothing else. A VM had no notion of its own path, and no way to a server but its own. Class of fault: one's own view is taken for the state of the others. Evidence: all attempts at these VMs ended NotSent for 12 s, while the other VMs of their zones reached the same servers.

Change: ServerReach tells a cut path from servers that are down. A VM that is cut off relays its requests to VMs that are not, without an attempt of its own; silence of all servers leads to health checks, and a response to one ends the state. A streamed body is taken only once there is a connection.

--- a/src/daemon/traffic_threads/reply.rs
+++ b/src/daemon/traffic_threads/reply.rs
@@ -73,6 +73,7 @@
         | Reason::QueueFull
         | Reason::ServerLimit
         | Reason::ServerShed
+        | Reason::ServersUnreachable
         | Reason::ServiceLimit => http::StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -256,6 +256,39 @@
         }
     }
 
+    /// Forgets which servers could not be reached, after the path to all of them was
+    /// interrupted.
+    pub fn clear_unreachable(&mut self) {
+        for server in self.servers.values_mut() {
+            server.unreachable_until_ms = 0;
+        }
+    }
+
+    /// Returns up to `count` ready servers for health checks, drawn by `random_value`
+    /// from those of `region`, or from all if it has none.
+    #[must_use]
+    pub fn servers_to_check(
+        &self,
+        count: usize,
+        region: &str,
+        random_value: f64,
+    ) -> Vec<sync::Arc<ports::Backend>> {
+        let backends = self.servers.values().map(|server| &server.backend);
+        let ready = backends.filter(|backend| backend.state == ports::BackendState::Ready);
+        let mut ready: Vec<_> = ready.collect();
+        ready.sort_by_cached_key(|backend| {
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "only the order of the numbers matters"
+            )]
+            let order =
+                (tie_break(backend.incarnation(), random_value) * f64::from(u32::MAX)) as u32;
+            (backend.region != region, order)
+        });
+        ready.into_iter().take(count).cloned().collect()
+    }
+
     /// Applies the load report of another VM.
     pub fn apply_report(
         &mut self,
--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -13,6 +13,7 @@
 use crate::gateway::control_thread::control_event;
 use crate::gateway::control_thread::datagram_socket;
 use crate::gateway::control_thread::fleet_service;
+use crate::gateway::control_thread::health_check;
 use crate::gateway::control_thread::members;
 use crate::gateway::control_thread::store_cache;
 use crate::gateway::control_thread::store_reads;
@@ -176,6 +177,7 @@
         if self.members.tick(now_ms) {
             self.publish();
         }
+        health_check::start_due(&self.shared);
         let changes = self.cache().backends.tick(now_ms);
         self.apply_backend_changes(&changes, "lapse");
         let role = self.members.reader_role(now_ms);
@@ -221,6 +223,7 @@
         };
         let connections = &self.shared.connections;
         connections.remove_expired(|incarnation| known.contains(&incarnation));
+        self.shared.relay_connections.remove_expired(|_| true);
         let event = health::QuarantineEvent::Tick;
         let _ = self.shared.quarantine().handle(now_ms, event);
     }
--- a/src/gateway/control_thread/members.rs
+++ b/src/gateway/control_thread/members.rs
@@ -203,7 +203,7 @@
     /// The slack is divided equally among the VMs that are advertised to callers.
     /// Any other VM receives few requests and has no slack.
     pub fn retry_slack_milli(&self, vms: &[gateway::EntryVm]) -> u64 {
-        let advertised = self.advertised_addresses(vms, None);
+        let advertised = entry_points::advertised(&self.shared.config, vms, None);
         if !advertised.contains(&self.shared.identity.caller_address) {
             return 0;
         }
@@ -224,31 +224,12 @@
 
     fn advertised_peers_of(&self, region: Option<&str>) -> Vec<net::SocketAddr> {
         let vms = self.entry_vms();
-        let advertised = self.advertised_addresses(&vms, region);
+        let advertised = entry_points::advertised(&self.shared.config, &vms, region);
         let peers = self.peers.iter();
         let advertised_peers = peers.filter(|peer| advertised.contains(&peer.caller_address));
         advertised_peers.map(|peer| peer.address).collect()
     }
 
-    /// Returns the caller addresses that are advertised in any availability zone
-    /// of `region`, or of all regions if `None`.
-    fn advertised_addresses(
-        &self,
-        vms: &[gateway::EntryVm],
-        region: Option<&str>,
-    ) -> indexmap::IndexSet<net::SocketAddr> {
-        let zones: indexmap::IndexSet<(&str, &str)> = vms
-            .iter()
-            .filter(|vm| region.is_none_or(|region| vm.region == region))
-            .map(|vm| (vm.availability_zone.as_str(), vm.region.as_str()))
-            .collect();
-        let config = &self.shared.config;
-        let chosen = zones
-            .iter()
-            .flat_map(|(zone, region)| entry_points::choose(config, vms, zone, region));
-        chosen.map(|vm| vm.caller_address).collect()
-    }
-
     fn update_peers(&mut self) {
         let others = self.membership.members().skip(1);
         let live = others.filter(|member| {
--- a/src/gateway/control_thread/mod.rs
+++ b/src/gateway/control_thread/mod.rs
@@ -9,6 +9,7 @@
 pub(super) mod datagram_socket;
 pub(super) mod fleet_message;
 pub(super) mod fleet_service;
+mod health_check;
 pub(super) mod members;
 pub(super) mod pulled_configuration;
 pub(super) mod store_cache;
--- a/src/gateway/control_thread/pulled_configuration.rs
+++ b/src/gateway/control_thread/pulled_configuration.rs
@@ -28,6 +28,9 @@
 pub struct ChangeHead {
     /// Version that the change applies to; 0 if it applies to any.
     pub base_version: u64,
+    /// Path of the health check of each service that names one in the new version.
+    #[serde(default)]
+    pub health_paths: indexmap::IndexMap<String, String>,
     /// Size and time limits on requests in the new version.
     pub limits: ports::RequestLimits,
     /// Host and path prefix of each route that the new version removes.
@@ -45,6 +48,7 @@
         Self {
             head: ChangeHead {
                 base_version: change.base_version,
+                health_paths: change.health_paths.clone(),
                 limits: change.limits,
                 removed: change.removed.clone(),
                 services: change.services.clone(),
@@ -66,6 +70,7 @@
     pub fn into_change(self) -> ports::ConfigurationChange {
         ports::ConfigurationChange {
             base_version: self.head.base_version,
+            health_paths: self.head.health_paths,
             limits: self.head.limits,
             removed: self.head.removed,
             routes: self.routes.0,
--- a/src/gateway/entry_points.rs
+++ b/src/gateway/entry_points.rs
@@ -53,3 +53,22 @@
     candidates.truncate(count);
     candidates
 }
+
+/// Returns the caller addresses that are advertised in any availability zone of
+/// `region`, or of all regions if `None`.
+#[must_use]
+pub fn advertised(
+    config: &configs::GatewayConfig,
+    vms: &[EntryVm],
+    region: Option<&str>,
+) -> indexmap::IndexSet<net::SocketAddr> {
+    let zones: indexmap::IndexSet<(&str, &str)> = vms
+        .iter()
+        .filter(|vm| region.is_none_or(|region| vm.region == region))
+        .map(|vm| (vm.availability_zone.as_str(), vm.region.as_str()))
+        .collect();
+    let chosen = zones
+        .iter()
+        .flat_map(|(zone, region)| choose(config, vms, zone, region));
+    chosen.map(|vm| vm.caller_address).collect()
+}
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -2,14 +2,17 @@
 
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 use rand::Rng as _;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
 use crate::configs;
 use crate::context;
 use crate::gateway;
 use crate::health;
+use crate::http1;
 use crate::ports;
 use crate::state_machine::StateMachine as _;
 use crate::telemetry;
@@ -49,8 +52,16 @@
     pub pause_detector: sync::Mutex<gateway::PauseDetector>,
     /// Quarantine of requests that crash servers.
     pub quarantine: sync::Mutex<health::Quarantine>,
+    /// Idle connections to other entry VMs, by the hashes of their caller addresses.
+    pub relay_connections: gateway::BackendConnections,
+    /// The other entry VMs, for requests that this VM cannot send to a server itself.
+    pub relay_peers: sync::Mutex<gateway::RelayPeers>,
     /// Retry budgets by service.
     pub retry_budgets: sync::Mutex<indexmap::IndexMap<String, gateway::RetryBudget>>,
+    /// Whether this VM reaches the backend servers.
+    pub server_reach: sync::Mutex<gateway::ServerReach>,
+    /// Wakes the requests that wait for a server when this VM is cut off from all.
+    pub servers_lost: Notify,
     /// State that the control thread last published.
     pub snapshot: arc_swap::ArcSwap<gateway::Snapshot>,
 }
@@ -111,6 +122,65 @@
         }
     }
 
+    /// Locks and returns whether this VM reaches the backend servers.
+    pub fn server_reach(&self) -> sync::MutexGuard<'_, gateway::ServerReach> {
+        self.server_reach
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Locks and returns the other entry VMs.
+    pub fn relay_peers(&self) -> sync::MutexGuard<'_, gateway::RelayPeers> {
+        self.relay_peers
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Records that a server has responded.
+    pub fn record_server_response(&self) {
+        let was_cut_off = self.server_reach().record_response(self.now_ms());
+        if was_cut_off {
+            // The other ends of these connections may be gone since the interruption.
+            self.connections.clear();
+            self.backend_pool().clear_unreachable();
+            self.metrics.counters.add("servers.regained");
+            self.decision_log.record("servers.regained", String::new);
+        }
+    }
+
+    /// Records that a server could not be reached, or that the connection to it was lost
+    /// before it responded.
+    pub fn record_server_miss(&self, incarnation: u64) {
+        let now_ms = self.now_ms();
+        let is_cut_off = self.server_reach().record_miss(now_ms, incarnation);
+        if is_cut_off {
+            self.servers_lost.notify_waiters();
+            self.metrics.counters.add("servers.lost");
+            self.decision_log.record("servers.lost", String::new);
+        }
+    }
+
+    /// Returns the timeouts of a connection to a server or another VM, which must be
+    /// established within `time_left`.
+    #[must_use]
+    pub fn socket_options(
+        &self,
+        is_same_region: bool,
+        time_left: time::Duration,
+    ) -> http1::SocketOptions {
+        let config = &self.config;
+        let connect_timeout_ms = if is_same_region {
+            config.connect_timeout_near_ms
+        } else {
+            config.connect_timeout_far_ms
+        };
+        http1::SocketOptions {
+            connect_timeout: time::Duration::from_millis(connect_timeout_ms).min(time_left),
+            keepalive: time::Duration::from_millis(config.keepalive_ms),
+            unacknowledged_timeout: time::Duration::from_millis(config.unacknowledged_timeout_ms),
+        }
+    }
+
     /// Records the limit that a server names in the response to a request sent at
     /// `sent_ms`, or that it names none, and notifies the other VMs of a change.
     pub fn record_named_limit(
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -126,7 +126,11 @@
         outbox,
         pause_detector: sync::Mutex::new(gateway::PauseDetector::new(now_ms)),
         quarantine: sync::Mutex::new(health::Quarantine::new(&configs::HealthConfig::default())),
+        relay_connections: gateway::BackendConnections::default(),
+        relay_peers: sync::Mutex::new(gateway::RelayPeers::default()),
         retry_budgets: sync::Mutex::new(indexmap::IndexMap::new()),
+        server_reach: sync::Mutex::new(gateway::ServerReach::default()),
+        servers_lost: tokio::sync::Notify::new(),
         snapshot: arc_swap::ArcSwap::default(),
     }
 }
--- a/src/gateway/traffic_thread/attempt.rs
+++ b/src/gateway/traffic_thread/attempt.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt as _;
 
 use crate::gateway;
+use crate::gateway::traffic_thread::caller_body;
 use crate::gateway::traffic_thread::response;
 use crate::gateway::traffic_thread::response_stream;
 use crate::gateway::traffic_thread::routed_request;
@@ -48,7 +49,7 @@
         Self {
             end: gateway::AttemptEnd::NotSent,
             has_server_died: false,
-            reason: verdict::RefusalReason::NoServer,
+            reason: verdict::RefusalReason::ServersUnreachable,
         }
     }
 
@@ -60,7 +61,8 @@
         }
     }
 
-    const fn unanswered(reason: verdict::RefusalReason) -> Self {
+    /// Returns the failure of a request that may have run, without a usable response.
+    pub const fn unanswered(reason: verdict::RefusalReason) -> Self {
         Self {
             end: gateway::AttemptEnd::Unanswered,
             has_server_died: matches!(reason, verdict::RefusalReason::ConnectionLost),
@@ -77,23 +79,30 @@
     shared: &sync::Arc<gateway::Shared>,
     routed: &routed_request::RoutedRequest<'_>,
     choice: &gateway::Choice,
-    body: http1::RequestBody,
+    body: &mut caller_body::CallerBody,
 ) -> AttemptOutcome {
     let Some((mut connection, is_new)) = connect(shared, routed, choice).await else {
         shared
             .backend_pool()
             .record_unreachable(shared.now_ms(), choice.incarnation);
+        shared.record_server_miss(choice.incarnation);
         return AttemptOutcome::Failed(AttemptFailure::not_sent());
     };
-    let request = backend_request(shared, routed, choice, body);
+    let request = backend_request(shared, routed, choice, body.attempt_body());
     let sent_ms = shared.now_ms();
+    shared.server_reach().record_sent(sent_ms);
     let exchange = connection.exchange(request);
     let head = match tokio::time::timeout_at(routed.deadline, exchange).await {
         Ok(Ok(head)) => head,
         Ok(Err(http1::ExchangeError::NotSent)) => {
             return AttemptOutcome::Failed(AttemptFailure::not_sent());
         }
-        Ok(Err(http1::ExchangeError::ConnectionBroken { .. })) => {
+        Ok(Err(http1::ExchangeError::ConnectionBroken { source })) => {
+            if source.is_parse() {
+                shared.record_server_response();
+            } else {
+                shared.record_server_miss(choice.incarnation);
+            }
             let reason = verdict::RefusalReason::ConnectionLost;
             return AttemptOutcome::Failed(AttemptFailure::unanswered(reason));
         }
@@ -102,6 +111,7 @@
             return AttemptOutcome::Failed(AttemptFailure::unanswered(reason));
         }
     };
+    shared.record_server_response();
     let is_refusal = is_refusal(shared, routed, &head, is_new);
     if (is_refusal && !is_misdirected(&head)) || has_matching_id(shared, routed, &head) {
         record_statement(shared, choice, sent_ms, head.headers());
@@ -134,7 +144,8 @@
     head.status() == http::StatusCode::MISDIRECTED_REQUEST
 }
 
-fn has_matching_id(
+/// Returns whether a response bears the id of this request.
+pub fn has_matching_id(
     shared: &gateway::Shared,
     routed: &routed_request::RoutedRequest<'_>,
     head: &http::Response<hyper::body::Incoming>,
@@ -171,17 +182,7 @@
     if let Some(connection) = shared.connections.take(choice.incarnation) {
         return Some((connection, false));
     }
-    let config = &shared.config;
-    let timeout_ms = if choice.is_same_region {
-        config.connect_timeout_near_ms
-    } else {
-        config.connect_timeout_far_ms
-    };
-    let options = http1::SocketOptions {
-        connect_timeout: time::Duration::from_millis(timeout_ms).min(routed.time_left()),
-        keepalive: time::Duration::from_millis(config.keepalive_ms),
-        unacknowledged_timeout: time::Duration::from_millis(config.unacknowledged_timeout_ms),
-    };
+    let options = shared.socket_options(choice.is_same_region, routed.time_left());
     shared.metrics.counters.add("server.connect");
     match http1::ClientConnection::open(choice.backend.address, &options).await {
         Ok(connection) => Some((connection, true)),
@@ -205,6 +206,20 @@
     routed: &routed_request::RoutedRequest<'_>,
     choice: &gateway::Choice,
     body: http1::RequestBody,
+) -> http::Request<http1::RequestBody> {
+    let mut request = forwarded_request(shared, routed, body);
+    if let Ok(id) = http::HeaderValue::from_str(&choice.backend.id) {
+        let expected_backend = shared.headers.expected_backend.clone();
+        request.headers_mut().insert(expected_backend, id);
+    }
+    request
+}
+
+/// Builds the caller's request without its connection headers, with the remaining time.
+pub fn forwarded_request(
+    shared: &gateway::Shared,
+    routed: &routed_request::RoutedRequest<'_>,
+    body: http1::RequestBody,
 ) -> http::Request<http1::RequestBody> {
     let mut request = http::Request::new(body);
     *request.method_mut() = routed.head.method.clone();
@@ -214,9 +229,6 @@
     http1::remove_connection_headers(headers);
     let time_left_ms = http::HeaderValue::from(routed.time_left_ms().max(1));
     headers.insert(shared.headers.deadline_ms.clone(), time_left_ms);
-    if let Ok(id) = http::HeaderValue::from_str(&choice.backend.id) {
-        headers.insert(shared.headers.expected_backend.clone(), id);
-    }
     request
 }
 
@@ -264,7 +276,7 @@
         // stays open as long as the body is in use and is not reused.
         ReadBody::Partial(first) => {
             let stream = response_stream::ResponseStream {
-                choice: choice.clone(),
+                choice: Some(choice.clone()),
                 connection,
                 deadline: routed.caller_deadline,
                 first: Some(first),
@@ -317,13 +329,19 @@
 }
 
 /// Part of a body that has been read.
-enum ReadBody {
+pub enum ReadBody {
+    /// The body is longer than the limit.
     Partial(bytes::Bytes),
+    /// The whole body.
     Complete(bytes::Bytes),
 }
 
 /// Reads a body until its end or until more than `limit_bytes` are received.
-async fn read_body(
+///
+/// # Errors
+///
+/// Returns the error of the connection if the body breaks off.
+pub async fn read_body(
     body: &mut hyper::body::Incoming,
     limit_bytes: usize,
 ) -> Result<ReadBody, hyper::Error> {
@@ -341,11 +359,7 @@
 
 /// Returns how long the connection may be kept idle; `None` if it must be closed.
 fn idle_time(shared: &gateway::Shared, headers: &http::HeaderMap) -> Option<time::Duration> {
-    let connection = headers.get(http::header::CONNECTION);
-    let connection = connection
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("");
-    if connection.to_ascii_lowercase().contains("close") {
+    if http1::closes_connection(headers) {
         return None;
     }
     let keep_alive = headers
--- a/src/gateway/traffic_thread/attempt_history.rs
+++ b/src/gateway/traffic_thread/attempt_history.rs
@@ -13,7 +13,10 @@
     /// none.
     pub failure_response: Option<response::Response>,
     servers_reached_count: u32,
-    connect_failures_count: u32,
+    /// Number of attempts whose connection could not be established.
+    pub connect_failures_count: u32,
+    /// Whether other entry VMs have declined the request.
+    pub has_been_declined: bool,
     /// Whether the request was used as a probe of a suspected server.
     pub has_probed: bool,
     last_failure_reason: Option<verdict::RefusalReason>,
@@ -38,6 +41,12 @@
         }
     }
 
+    /// Returns the number of servers that the request may still reach.
+    pub fn attempts_left(&self, routed: &routed_request::RoutedRequest<'_>) -> u32 {
+        let max_attempts = routed.max_attempts();
+        max_attempts.saturating_sub(self.servers_reached_count)
+    }
+
     /// Returns the state of the request on which the retry decision depends.
     pub fn retry_context(
         &self,
@@ -55,7 +64,7 @@
             servers_reached_count: self.servers_reached_count,
             connect_failures_count: self.connect_failures_count,
             time_left_ms: routed.time_left_ms(),
-            max_attempts: routed.route.max_attempts.max(1),
+            max_attempts: routed.max_attempts(),
             may_repeat: routed.route.kind.may_repeat(),
             mean_run_ms,
         }
--- a/src/gateway/traffic_thread/backend_connections.rs
+++ b/src/gateway/traffic_thread/backend_connections.rs
@@ -57,6 +57,11 @@
         });
     }
 
+    /// Closes all connections.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
     /// Closes connections whose idle time has passed, and those to incarnations
     /// for which `is_known` returns `false`.
     pub fn remove_expired(&self, is_known: impl Fn(u64) -> bool) {
--- a/src/gateway/traffic_thread/caller_body.rs
+++ b/src/gateway/traffic_thread/caller_body.rs
@@ -30,9 +30,9 @@
         }
     }
 
-    /// Returns whether the body can be sent again.
+    /// Returns whether the body can be sent, once more or for the first time.
     pub const fn is_replayable(&self) -> bool {
-        matches!(self, Self::Buffered(_))
+        matches!(self, Self::Buffered(_) | Self::Streamed(Some(_)))
     }
 }
 
--- a/src/gateway/traffic_thread/mod.rs
+++ b/src/gateway/traffic_thread/mod.rs
@@ -8,6 +8,8 @@
 pub(super) mod caller_stream;
 pub(super) mod in_flight;
 pub(super) mod proxy;
+pub(super) mod relay;
+pub(super) mod relay_exchange;
 pub(super) mod request_log;
 pub(super) mod response;
 pub(super) mod response_stream;
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -11,10 +11,11 @@
 use crate::gateway::traffic_thread::caller_body;
 use crate::gateway::traffic_thread::caller_stream;
 use crate::gateway::traffic_thread::in_flight;
+use crate::gateway::traffic_thread::relay;
+use crate::gateway::traffic_thread::relay_exchange;
 use crate::gateway::traffic_thread::request_log;
 use crate::gateway::traffic_thread::response;
 use crate::gateway::traffic_thread::routed_request;
-use crate::http1;
 use crate::ports;
 use crate::verdict;
 
@@ -47,18 +48,24 @@
     request: http::Request<hyper::body::Incoming>,
 ) -> response::Response {
     let _in_flight = in_flight::InFlightGuard::begin(&shared);
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let terms = head.headers.remove(relay_exchange::RELAY_HEADER);
+    let terms = terms.and_then(|terms| terms.to_str().ok()?.parse().ok());
     let arrived_at = head.extensions.get::<caller_stream::ArrivedAt>();
     let started_at = arrived_at.map_or_else(tokio::time::Instant::now, |arrived_at| arrived_at.0);
     let id = head.headers.get(&shared.headers.request_id);
     let request_id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
-    let mut response = match handle(&shared, &request_id, started_at, head, body).await {
-        Ok(response) => response,
-        Err(refusal) => {
-            request_log::record_refusal(&shared, &request_id, &refusal, started_at.elapsed());
-            response::refusal(&refusal, &request_id, &shared.headers)
-        }
-    };
+    let result = handle(&shared, &request_id, started_at, terms, head, body).await;
+    let relay_outcome = terms.map(|_| relay::outcome(&shared, &result));
+    let mut response = result.unwrap_or_else(|refusal| {
+        request_log::record_refusal(&shared, &request_id, &refusal, started_at.elapsed());
+        response::refusal(&refusal, &request_id, &shared.headers)
+    });
+    if let Some(outcome) = relay_outcome {
+        response
+            .headers_mut()
+            .insert(relay_exchange::RELAY_HEADER, outcome);
+    }
     if shared.is_leaving() {
         let close = http::HeaderValue::from_static("close");
         response
@@ -74,6 +81,7 @@
     shared: &sync::Arc<gateway::Shared>,
     request_id: &str,
     started_at: tokio::time::Instant,
+    relay: Option<gateway::RelayTerms>,
     head: http::request::Parts,
     body: hyper::body::Incoming,
 ) -> Result<response::Response, verdict::Refusal> {
@@ -94,6 +102,11 @@
             gateway::jittered_ms(NO_CONFIGURATION_RETRY_AFTER_MS, shared.random_value()),
         ));
     };
+    let is_outdated = relay.is_some_and(|terms| terms.version > routes.configuration.version);
+    if is_outdated {
+        let reason = verdict::RefusalReason::NoConfiguration;
+        return Err(verdict::Refusal::not_run(reason, 0));
+    }
     let host = head.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
     let Some(route) = routes.find(host, head.uri.path()) else {
@@ -122,19 +135,25 @@
         caller_deadline,
         fingerprint,
         deadline,
+        relay,
         request_id,
         route,
         service: route.target(random_weight),
         head,
     };
     let mut history = attempt_history::AttemptHistory::default();
-    let outcome_guard = in_flight::ServiceOutcomeGuard::begin(shared, &request);
+    // A relayed request is counted by the VM that relays it.
+    let outcome_guard = relay
+        .is_none()
+        .then(|| in_flight::ServiceOutcomeGuard::begin(shared, &request));
     let version = routes.configuration.version;
     let result = run_attempts(shared, &request, &mut history, body, version).await;
     let is_served = result
         .as_ref()
         .is_ok_and(|response| !response.status().is_server_error());
-    outcome_guard.record_outcome(is_served, history.has_probed);
+    if let Some(outcome_guard) = outcome_guard {
+        outcome_guard.record_outcome(is_served, history.has_probed);
+    }
     result
 }
 
@@ -183,9 +202,15 @@
             0,
         ));
     }
-    shared.record_request(routed.service);
+    if routed.relay.is_none() {
+        shared.record_request(routed.service);
+    }
     loop {
         wait_after_pause(shared).await;
+        let relayed = relay::run_if_out_of_reach(shared, routed, history, &mut body, version);
+        if let Some(result) = relayed.await {
+            return result;
+        }
         let Some(choice) = choose(shared, routed, history) else {
             let (reason, retry_after_ms) = no_server(shared, routed, history);
             return history.final_response(shared, routed, reason, retry_after_ms);
@@ -199,7 +224,7 @@
         }
         shared.announce_limited_request(&choice);
         let started_at = time::Instant::now();
-        let outcome = run_attempt(shared, routed, &choice, body.attempt_body()).await;
+        let outcome = run_attempt(shared, routed, &choice, &mut body).await;
         let ran_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         drop(server_guard);
         let failure = match outcome {
@@ -331,6 +356,27 @@
     gateway::retry_after_ms(mean_run_ms, shared.random_value())
 }
 
+/// Runs an attempt. If this VM is cut off from all servers meanwhile, an attempt that
+/// may be repeated ends, so that another VM can make the next one.
+async fn run_while_reached(
+    shared: &sync::Arc<gateway::Shared>,
+    routed: &routed_request::RoutedRequest<'_>,
+    choice: &gateway::Choice,
+    body: &mut caller_body::CallerBody,
+) -> attempt::AttemptOutcome {
+    let attempt = attempt::run(shared, routed, choice, body);
+    if !routed.route.kind.may_repeat() {
+        return attempt.await;
+    }
+    tokio::select! {
+        outcome = attempt => outcome,
+        () = shared.servers_lost.notified() => {
+            let reason = verdict::RefusalReason::ServersUnreachable;
+            attempt::AttemptOutcome::Failed(attempt::AttemptFailure::unanswered(reason))
+        }
+    }
+}
+
 /// Runs an attempt. If the response is long overdue by the service's usual run
 /// time, records this as evidence of a failing server before the request's own
 /// deadline.
@@ -338,9 +384,9 @@
     shared: &sync::Arc<gateway::Shared>,
     routed: &routed_request::RoutedRequest<'_>,
     choice: &gateway::Choice,
-    body: http1::RequestBody,
+    body: &mut caller_body::CallerBody,
 ) -> attempt::AttemptOutcome {
-    let mut attempt = std::pin::pin!(attempt::run(shared, routed, choice, body));
+    let mut attempt = std::pin::pin!(run_while_reached(shared, routed, choice, body));
     let mean_run_ms = shared.backend_pool().mean_run_ms(routed.service);
     let overdue = time::Duration::from_secs_f64(
         mean_run_ms * shared.config.suspicion.slow_factor / MILLISECONDS_PER_S,
--- a/src/gateway/traffic_thread/response_stream.rs
+++ b/src/gateway/traffic_thread/response_stream.rs
@@ -20,8 +20,8 @@
 /// the server breaks it off, pauses for too long, or does not end it before the
 /// caller's deadline.
 pub struct ResponseStream {
-    /// Server that sends the response.
-    pub choice: gateway::Choice,
+    /// Server that sends the response; `None` if another entry VM passes it on.
+    pub choice: Option<gateway::Choice>,
     /// Connection on which the response arrives.
     pub connection: http1::ClientConnection,
     /// Time until which the caller waits for the end of the body.
@@ -63,13 +63,16 @@
             Ok(Some(Err(error))) => io::Error::other(error),
             Err(_) => io::Error::other("response body stalled"),
         };
-        self.shared
-            .record_evidence(&self.choice, gateway::Evidence::Failure);
+        if let Some(choice) = &self.choice {
+            let failure = gateway::Evidence::Failure;
+            self.shared.record_evidence(choice, failure);
+        }
         self.shared.metrics.counters.add("response.broken-off");
         let decision_log = &self.shared.decision_log;
         decision_log.record("response.broken-off", || {
             let is_open = self.connection.is_open();
-            let server = &self.choice.backend.id;
+            let choice = self.choice.as_ref();
+            let server = choice.map_or("relayed", |choice| choice.backend.id.as_str());
             format!("server={server} connection_open={is_open} error=\"{error}\"")
         });
         Some(Err(error))
--- a/src/gateway/traffic_thread/routed_request.rs
+++ b/src/gateway/traffic_thread/routed_request.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::gateway;
 use crate::ports;
 
 /// Caller's request with its route and deadline.
@@ -15,6 +16,9 @@
     /// Time by which the caller must have the response: its own deadline, or the
     /// route's if that is earlier.
     pub deadline: tokio::time::Instant,
+    /// Terms on which another entry VM relayed the request; `None` if it comes from a
+    /// caller.
+    pub relay: Option<gateway::RelayTerms>,
     /// Id of the request, sent by the caller.
     pub request_id: &'a str,
     /// Matching route.
@@ -24,6 +28,13 @@
 }
 
 impl RoutedRequest<'_> {
+    /// Returns the maximum number of servers that the request may reach.
+    #[must_use]
+    pub fn max_attempts(&self) -> u32 {
+        let max_attempts = self.relay.map_or(u32::MAX, |terms| terms.max_attempts);
+        self.route.max_attempts.min(max_attempts).max(1)
+    }
+
     /// Returns the time until the deadline.
     #[must_use]
     pub fn time_left(&self) -> time::Duration {
--- a/src/http1/connection_headers.rs
+++ b/src/http1/connection_headers.rs
@@ -14,6 +14,14 @@
     "upgrade",
 ];
 
+/// Returns whether the sender of a response closes the connection after it.
+#[must_use]
+pub fn closes_connection(headers: &http::HeaderMap) -> bool {
+    let connection = headers.get(http::header::CONNECTION);
+    let connection = connection.and_then(|value| value.to_str().ok());
+    connection.is_some_and(|text| text.to_ascii_lowercase().contains("close"))
+}
+
 /// Removes all hop-by-hop headers, including those that `Connection` lists.
 pub fn remove_connection_headers(headers: &mut http::HeaderMap) {
     let named: Vec<String> = headers
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -7,5 +7,5 @@
 
 pub use client_connection::{ClientConnection, ExchangeError, RequestBody};
 pub use connect::{connect, set_socket_options};
-pub use connection_headers::remove_connection_headers;
+pub use connection_headers::{closes_connection, remove_connection_headers};
 pub use socket_options::SocketOptions;
--- a/src/ports/configuration_change.rs
+++ b/src/ports/configuration_change.rs
@@ -9,6 +9,9 @@
     /// Version that the change applies to; 0 if it contains the complete
     /// configuration and applies to any.
     pub base_version: u64,
+    /// Path of the health check of each service that names one in the new version.
+    #[serde(default)]
+    pub health_paths: indexmap::IndexMap<String, String>,
     /// Size and time limits on requests in the new version.
     pub limits: ports::RequestLimits,
     /// Host and path prefix of each route that the new version removes.
@@ -36,6 +39,7 @@
             .filter(|key| !next_routes.contains_key(*key));
         Self {
             base_version: base.version,
+            health_paths: next.health_paths.clone(),
             limits: next.limits,
             removed: removed
                 .map(|(host, prefix)| ((*host).to_owned(), (*prefix).to_owned()))
@@ -51,6 +55,7 @@
     pub fn complete(next: &ports::FleetConfiguration) -> Self {
         Self {
             base_version: 0,
+            health_paths: next.health_paths.clone(),
             limits: next.limits,
             removed: Vec::new(),
             routes: next.routes.clone(),
@@ -78,6 +83,7 @@
             routes.insert((route.host.as_str(), route.path_prefix.as_str()), route);
         }
         Some(ports::FleetConfiguration {
+            health_paths: self.health_paths.clone(),
             limits: self.limits,
             routes: routes.into_values().cloned().collect(),
             services: self.services.clone(),
--- a/src/ports/fleet_configuration.rs
+++ b/src/ports/fleet_configuration.rs
@@ -5,6 +5,9 @@
 /// Complete configuration that the operator has put in force.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct FleetConfiguration {
+    /// Path of the health check of each service that names one.
+    #[serde(default)]
+    pub health_paths: indexmap::IndexMap<String, String>,
     /// Size and time limits on requests.
     pub limits: ports::RequestLimits,
     /// Routes of all hosts.
--- a/src/verdict/refusal_reason.rs
+++ b/src/verdict/refusal_reason.rs
@@ -50,6 +50,8 @@
     ServerLimit,
     /// The backend server refused the request without running it.
     ServerShed,
+    /// This entry VM does not reach the backend servers.
+    ServersUnreachable,
     /// The capacity of this entry VM for the service or the priority of the
     /// request is used up.
     ServiceLimit,
@@ -82,6 +84,7 @@
             Self::RequestInvalid => "request-invalid",
             Self::ServerLimit => "server-limit",
             Self::ServerShed => "server-shed",
+            Self::ServersUnreachable => "servers-unreachable",
             Self::ServiceLimit => "service-limit",
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -28,7 +28,11 @@
 mod registry;
 #[path = "gateway/registry_random.rs"]
 mod registry_random;
+#[path = "gateway/relay_peers.rs"]
+mod relay_peers;
 #[path = "gateway/retries.rs"]
 mod retries;
 #[path = "gateway/routes.rs"]
 mod routes;
+#[path = "gateway/server_reach.rs"]
+mod server_reach;
--- a/tests/gateway/fixtures.rs
+++ b/tests/gateway/fixtures.rs
@@ -71,6 +71,7 @@
 
 pub fn configuration(version: u64, routes: Vec<ports::Route>) -> ports::FleetConfiguration {
     ports::FleetConfiguration {
+        health_paths: indexmap::IndexMap::new(),
         limits: ports::RequestLimits {
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
