Take no evidence against servers from a VM that lost its own path

Callers saw: VMs that reach the servers treat all of them as failing while other VMs are partitioned from them, and requests are quarantined as ones that crash servers.

Cause: a request that is lost or overdue counted against its server on all VMs of the region, whatever the VM that sent it knew of its own path.

The bound on suspicions in the partition tests failed before with two of three VMs cut off: the third one suspected all six servers. It holds now.

--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -386,6 +386,7 @@
     choice: &gateway::Choice,
     body: &mut caller_body::CallerBody,
 ) -> attempt::AttemptOutcome {
+    let begun_ms = shared.now_ms();
     let mut attempt = std::pin::pin!(run_while_reached(shared, routed, choice, body));
     let mean_run_ms = shared.backend_pool().mean_run_ms(routed.service);
     let overdue = time::Duration::from_secs_f64(
@@ -394,7 +395,10 @@
     if let Ok(outcome) = tokio::time::timeout(overdue, attempt.as_mut()).await {
         return outcome;
     }
-    shared.record_evidence(choice, gateway::Evidence::Failure);
+    // A VM that hears from no server is cut off, or knows nothing of this one.
+    if shared.server_reach().has_response_since(begun_ms) {
+        shared.record_evidence(choice, gateway::Evidence::Failure);
+    }
     shared.metrics.counters.add("attempt.overdue");
     shared.decision_log.record("attempt.overdue", || {
         format!(
--- a/src/gateway/traffic_thread/request_log.rs
+++ b/src/gateway/traffic_thread/request_log.rs
@@ -70,10 +70,13 @@
     ran_ms: u64,
 ) {
     let is_overdue = failure.reason == verdict::RefusalReason::DeadlineExceeded;
-    if failure.end == gateway::AttemptEnd::Unanswered && !is_overdue {
+    // Failures of several servers in a row are due to this VM's own path to them.
+    let is_path_at_fault = shared.server_reach().is_path_at_fault();
+    if failure.end == gateway::AttemptEnd::Unanswered && !is_overdue && !is_path_at_fault {
         shared.record_evidence(choice, gateway::Evidence::Failure);
     }
-    if let Some(fingerprint) = routed.fingerprint.filter(|_| failure.has_server_died) {
+    let has_server_died = failure.has_server_died && !is_path_at_fault;
+    if let Some(fingerprint) = routed.fingerprint.filter(|_| has_server_died) {
         shared.record_server_death(fingerprint, ran_ms, &choice.backend.id);
     }
     shared.metrics.counters.add("attempt.failed");
