Leave the end of keep-alive probes to the timeout for unacknowledged bytes

Beside TCP_USER_TIMEOUT, which is set on every connection, Linux ignores the number of probes. The setting of four probes suggested that a dead idle connection ends after 7.5 s; it is 6 s, as before this change.

--- a/src/http1/connect.rs
+++ b/src/http1/connect.rs
@@ -7,10 +7,6 @@
 
 use crate::http1;
 
-/// Number of unacknowledged keep-alive probes after which the connection is
-/// closed.
-const KEEPALIVE_PROBES: u32 = 4;
-
 /// Opens a TCP connection to `address`.
 ///
 /// # Errors
@@ -33,6 +29,9 @@
 /// unacknowledged bytes. Without the probes and the timeout, a connection
 /// across a network partition would stay open for many minutes.
 ///
+/// The timeout also decides when the probes give up: beside it, Linux ignores their
+/// number.
+///
 /// # Errors
 ///
 /// Returns the operating system's error.
@@ -41,8 +40,7 @@
     let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(options.keepalive)
-        .with_interval(options.keepalive)
-        .with_retries(KEEPALIVE_PROBES);
+        .with_interval(options.keepalive);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(options.unacknowledged_timeout))
 }
