Leave servers alone that leave or ask for rest

New promises: a server that leaves says so in all its responses, and a server that turns a request away may name a time in which it wants none of this VM. Neither was read. Both come in the head of a response, as limits do, and one type now answers for all three whether a server may be sent a request, with a table over their pairs.

Measured with the statements not read: all three tests fail, with 3 requests in 6 s to a resting server (2 allowed), a request that a leaving server ran, and no refusal while all servers rest.

--- a/src/daemon/traffic_threads/reply.rs
+++ b/src/daemon/traffic_threads/reply.rs
@@ -72,6 +72,7 @@
         | Reason::NoServer
         | Reason::QueueFull
         | Reason::ServerLimit
+        | Reason::ServerRest
         | Reason::ServerShed
         | Reason::ServersUnreachable
         | Reason::ServiceLimit => http::StatusCode::SERVICE_UNAVAILABLE,
--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -2,6 +2,7 @@
 //! request.
 
 mod named_limits;
+mod server_wishes;
 
 use std::net;
 use std::sync;
@@ -63,6 +64,7 @@
     by_service: indexmap::IndexMap<String, Vec<u64>>,
     changes: Vec<gateway::HealthChange>,
     config: configs::SuspicionConfig,
+    leaving: gateway::LeavingServers,
     servers: indexmap::IndexMap<u64, tracked_server::TrackedServer>,
     min_share_permille: u64,
     peer_loads: peer_loads::PeerLoads,
@@ -84,6 +86,7 @@
             by_service: indexmap::IndexMap::new(),
             changes: Vec::new(),
             config,
+            leaving: gateway::LeavingServers::default(),
             servers: indexmap::IndexMap::new(),
             min_share_permille,
             peer_loads: peer_loads::PeerLoads::default(),
@@ -110,6 +113,7 @@
                 tracked_server::TrackedServer::new(&self.config, now_ms, backend)
             });
             server.backend = sync::Arc::clone(backend);
+            server.wishes.is_leaving = self.leaving.contains(incarnation);
             servers.insert(incarnation, server);
             let incarnations = self.by_service.entry(backend.service.clone()).or_default();
             incarnations.push(incarnation);
@@ -264,18 +268,21 @@
         }
     }
 
-    /// Returns up to `count` ready servers for health checks, drawn by `random_value`
-    /// from those of `region`, or from all if it has none.
+    /// Returns up to `count` servers for health checks that may be sent a request now,
+    /// drawn by `random_value` from those of `region`, or from all if it has none.
     #[must_use]
     pub fn servers_to_check(
         &self,
+        now_ms: u64,
         count: usize,
         region: &str,
         random_value: f64,
     ) -> Vec<sync::Arc<ports::Backend>> {
-        let backends = self.servers.values().map(|server| &server.backend);
-        let ready = backends.filter(|backend| backend.state == ports::BackendState::Ready);
-        let mut ready: Vec<_> = ready.collect();
+        let servers = self.servers.values();
+        let open = servers.filter(|server| {
+            server.backend.state == ports::BackendState::Ready && server.allows_request(now_ms)
+        });
+        let mut ready: Vec<_> = open.map(|server| &server.backend).collect();
         ready.sort_by_cached_key(|backend| {
             #[expect(
                 clippy::cast_possible_truncation,
--- a/src/gateway/backend_pool/named_limits.rs
+++ b/src/gateway/backend_pool/named_limits.rs
@@ -17,7 +17,7 @@
         sent_ms: u64,
         limit_per_s: Option<f64>,
     ) -> Option<gateway::LimitNotice> {
-        let known = self.servers.get(&incarnation)?.send_limit;
+        let known = self.servers.get(&incarnation)?.wishes.limit;
         let is_ended = known.is_some_and(|known| known.is_ended_by(sent_ms));
         if limit_per_s.is_none() && !is_ended {
             return None;
@@ -39,16 +39,6 @@
         }
     }
 
-    /// Returns when the first server that the request has not tried may be sent a
-    /// request again, if limits are why there is none now.
-    #[must_use]
-    pub fn next_open_ms(&self, request: &gateway::ChoiceRequest<'_>) -> Option<u64> {
-        let limits = self
-            .untried_servers(request)
-            .filter_map(|(_, server)| server.send_limit);
-        limits.map(|limit| limit.open_ms()).min()
-    }
-
     /// Counts a request that is sent to a server now towards its limit. Returns the
     /// notice for the other VMs if the server has a limit.
     pub(super) fn count_towards_limit(
@@ -56,7 +46,7 @@
         now_ms: u64,
         incarnation: u64,
     ) -> Option<gateway::LimitNotice> {
-        let limit = self.servers.get_mut(&incarnation)?.send_limit.as_mut()?;
+        let limit = self.servers.get_mut(&incarnation)?.wishes.limit.as_mut()?;
         limit.record_send(now_ms);
         Some(gateway::LimitNotice {
             has_request: true,
@@ -76,7 +66,7 @@
         let Some(server) = self.servers.get_mut(&incarnation) else {
             return false;
         };
-        let is_changed = match (&mut server.send_limit, limit_per_s) {
+        let is_changed = match (&mut server.wishes.limit, limit_per_s) {
             (None, None) => false,
             (Some(limit), Some(per_s)) => limit.set_rate(per_s),
             (limit, per_s) => {
--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -345,6 +345,11 @@
                 self.shared
                     .update_backend_pool(|pool| pool.apply_limit_notice(now_ms, notice));
             }
+            gateway::FleetMessage::Leaving(incarnation) => {
+                self.shared.update_backend_pool(|pool| {
+                    pool.record_leaving(now_ms, incarnation, false);
+                });
+            }
             gateway::FleetMessage::Load(report) => {
                 self.shared
                     .update_backend_pool(|pool| pool.apply_report(now_ms, from, &report));
@@ -445,12 +450,12 @@
 
     /// Sends a message of the traffic thread to the VMs that it concerns.
     ///
-    /// Summaries of requests that crash servers concern all VMs, limits of servers
-    /// those that serve requests of any region, and everything else those that serve
-    /// this region's requests.
+    /// Summaries of requests that crash servers and servers that leave concern all VMs,
+    /// limits of servers those that serve requests of any region, and everything else
+    /// those that serve this region's requests.
     fn send_to_peers(&self, message: &gateway::FleetMessage) {
         let receivers = match message {
-            gateway::FleetMessage::Quarantine(_) => {
+            gateway::FleetMessage::Leaving(_) | gateway::FleetMessage::Quarantine(_) => {
                 let peers = self.members.peers().iter();
                 peers.map(|peer| peer.address).collect()
             }
--- a/src/gateway/control_thread/fleet_message.rs
+++ b/src/gateway/control_thread/fleet_message.rs
@@ -34,6 +34,8 @@
     StateSummaryReply(StateSummary),
     /// Limit of a backend server, or a request that counts towards it.
     Limit(gateway::LimitNotice),
+    /// A backend server, given by its incarnation, has said that it leaves.
+    Leaving(u64),
 }
 
 /// Versions and age of an entry VM's copy of the store.
--- a/src/gateway/control_thread/health_check.rs
+++ b/src/gateway/control_thread/health_check.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt as _;
 
 use crate::gateway;
+use crate::gateway::traffic_thread::server_statement;
 use crate::http1;
 use crate::ports;
 
@@ -26,9 +27,10 @@
         return;
     }
     let region = &shared.identity.region;
-    let servers = shared
-        .backend_pool()
-        .servers_to_check(count, region, shared.random_value());
+    let servers =
+        shared
+            .backend_pool()
+            .servers_to_check(now_ms, count, region, shared.random_value());
     for server in servers {
         let shared = sync::Arc::clone(shared);
         tokio::spawn(async move {
@@ -61,5 +63,14 @@
         return false;
     };
     let response = tokio::time::timeout(RESPONSE_TIMEOUT, connection.exchange(request)).await;
-    matches!(response, Ok(Ok(_)))
+    let Ok(Ok(response)) = response else {
+        return false;
+    };
+    let headers = response.headers();
+    let instance_id = headers.get(&shared.headers.instance_id);
+    let is_same_server = instance_id.is_some_and(|id| id.as_bytes() == server.id.as_bytes());
+    if is_same_server && server_statement::is_leaving(&shared.headers, headers) {
+        shared.record_leaving(server.incarnation());
+    }
+    true
 }
--- a/src/gateway/health_change.rs
+++ b/src/gateway/health_change.rs
@@ -5,6 +5,24 @@
 /// A change of the health of a server or a service, as assessed by this VM.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HealthChange {
+    /// A server said that it leaves.
+    Leaving {
+        /// Whether it said so to this VM, not to another one.
+        is_own: bool,
+        /// Id of the server.
+        server: String,
+        /// Name of the server's service.
+        service: String,
+    },
+    /// A server asked this VM for rest.
+    Rest {
+        /// Time for which it wants no request, in milliseconds.
+        rest_ms: u64,
+        /// Id of the server.
+        server: String,
+        /// Name of the server's service.
+        service: String,
+    },
     /// A server named a limit on its requests, or none any more.
     Limit {
         /// Whether the limit was named to this VM, not to another one.
@@ -47,6 +65,8 @@
     #[must_use]
     pub const fn name(&self) -> &'static str {
         match self {
+            Self::Leaving { .. } => "server.leaving",
+            Self::Rest { .. } => "server.rests",
             Self::Limit {
                 limit_per_s: Some(_),
                 ..
@@ -72,6 +92,25 @@
     /// Formats the change as the fields of a log line.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Leaving {
+                is_own,
+                server,
+                service,
+            } => {
+                let source = source(*is_own);
+                write!(
+                    formatter,
+                    "service={service} server={server} source={source}"
+                )
+            }
+            Self::Rest {
+                rest_ms,
+                server,
+                service,
+            } => write!(
+                formatter,
+                "service={service} server={server} rest_ms={rest_ms}"
+            ),
             Self::Limit {
                 is_own,
                 limit_per_s,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -181,6 +181,26 @@
         }
     }
 
+    /// Records that a server leaves, as it says in a response, and notifies the other
+    /// VMs.
+    pub fn record_leaving(&self, incarnation: u64) {
+        let now_ms = self.now_ms();
+        let is_news =
+            self.update_backend_pool(|pool| pool.record_leaving(now_ms, incarnation, true));
+        if is_news {
+            self.enqueue(gateway::FleetMessage::Leaving(incarnation));
+        }
+    }
+
+    /// Records that a server wants no request of this VM for some time.
+    pub fn record_rest(&self, incarnation: u64, rest_ms: u64) {
+        let now_ms = self.now_ms();
+        let random_value = self.random_value();
+        self.update_backend_pool(|pool| {
+            pool.record_rest(now_ms, incarnation, rest_ms, random_value);
+        });
+    }
+
     /// Records the limit that a server names in the response to a request sent at
     /// `sent_ms`, or that it names none, and notifies the other VMs of a change.
     pub fn record_named_limit(
--- a/src/gateway/tracked_server.rs
+++ b/src/gateway/tracked_server.rs
@@ -22,8 +22,6 @@
     pub(super) last_sent_ms: u64,
     /// When this VM first saw the registration.
     pub(super) registered_ms: u64,
-    /// Limit that the server has named; `None` if it names none.
-    pub(super) send_limit: Option<gateway::SendLimit>,
     /// Number of requests that this VM sent since its last load report.
     pub(super) sent_count: u32,
     /// When the server last refused a request because all its slots were taken;
@@ -35,6 +33,8 @@
     pub(super) suspicion: gateway::Suspicion,
     /// Time until which the server is assumed to be unreachable.
     pub(super) unreachable_until_ms: u64,
+    /// What the server has asked for.
+    pub(super) wishes: gateway::ServerWishes,
 }
 
 impl TrackedServer {
@@ -50,18 +50,18 @@
             is_suspect: false,
             last_sent_ms: now_ms,
             registered_ms: now_ms,
-            send_limit: None,
             sent_count: 0,
             last_shed_ms: None,
             success_count: 0,
             suspicion: gateway::Suspicion::new(config),
             unreachable_until_ms: 0,
+            wishes: gateway::ServerWishes::default(),
         }
     }
 
     /// Returns whether the server may be sent a request now.
     pub(super) fn allows_request(&self, now_ms: u64) -> bool {
-        self.send_limit.is_none_or(|limit| limit.allows(now_ms))
+        self.wishes.permission(now_ms) == gateway::SendPermission::Granted
     }
 
     /// Records the evidence from `count` requests on the server.
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -302,12 +302,20 @@
     history: &attempt_history::AttemptHistory,
 ) -> (verdict::RefusalReason, u64) {
     let request = choice_request(shared, routed, history);
-    let Some(open_ms) = shared.backend_pool().next_open_ms(&request) else {
-        return (verdict::RefusalReason::NoServer, NO_SERVER_RETRY_AFTER_MS);
+    let now_ms = shared.now_ms();
+    let next_open = shared.backend_pool().next_open(now_ms, &request);
+    let (reason, open_ms) = match next_open {
+        Some(gateway::SendPermission::Limited(open_ms)) => {
+            (verdict::RefusalReason::ServerLimit, open_ms)
+        }
+        Some(gateway::SendPermission::Resting(open_ms)) => {
+            (verdict::RefusalReason::ServerRest, open_ms)
+        }
+        _ => return (verdict::RefusalReason::NoServer, NO_SERVER_RETRY_AFTER_MS),
     };
-    let wait_ms = open_ms.saturating_sub(shared.now_ms());
+    let wait_ms = open_ms.saturating_sub(now_ms);
     let retry_after_ms = wait_ms + gateway::retry_after_ms(0.0, shared.random_value());
-    (verdict::RefusalReason::ServerLimit, retry_after_ms)
+    (reason, retry_after_ms)
 }
 
 fn choice_request<'a>(
--- a/src/ports/header_names.rs
+++ b/src/ports/header_names.rs
@@ -11,6 +11,10 @@
     /// Backend server that the request is meant for. Any other server responds
     /// with status 421.
     pub expected_backend: header::HeaderName,
+    /// Id of the backend server, in its responses to health checks.
+    pub instance_id: header::HeaderName,
+    /// `1` in each response of a backend server that leaves.
+    pub leaving: header::HeaderName,
     /// Present in a response if the backend server did not run the request.
     pub not_run: header::HeaderName,
     /// Id of one attempt of a caller; backend servers echo it.
--- a/src/verdict/refusal_reason.rs
+++ b/src/verdict/refusal_reason.rs
@@ -48,6 +48,8 @@
     RequestInvalid,
     /// The backend servers have named limits that are used up.
     ServerLimit,
+    /// The backend servers have asked for rest.
+    ServerRest,
     /// The backend server refused the request without running it.
     ServerShed,
     /// This entry VM does not reach the backend servers.
@@ -83,6 +85,7 @@
             Self::QueueFull => "queue-full",
             Self::RequestInvalid => "request-invalid",
             Self::ServerLimit => "server-limit",
+            Self::ServerRest => "server-rest",
             Self::ServerShed => "server-shed",
             Self::ServersUnreachable => "servers-unreachable",
             Self::ServiceLimit => "service-limit",
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -34,5 +34,7 @@
 mod retries;
 #[path = "gateway/routes.rs"]
 mod routes;
+#[path = "gateway/send_permission.rs"]
+mod send_permission;
 #[path = "gateway/server_reach.rs"]
 mod server_reach;
--- a/tests/gateway/named_limits.rs
+++ b/tests/gateway/named_limits.rs
@@ -165,7 +165,8 @@
         assert!(pool.choose(1_200, &request(0.0)).is_some());
     }
     assert!(pool.choose(1_200, &request(0.0)).is_none(), "used up");
-    assert_eq!(pool.next_open_ms(&request(0.0)), Some(2_200));
+    let next_open = pool.next_open(1_200, &request(0.0));
+    assert_eq!(next_open, Some(gateway::SendPermission::Limited(2_200)));
     assert!(pool.choose(2_200, &request(0.0)).is_some());
     let ended = pool.record_named_limit(2_300, incarnation, 2_200, None);
     assert_eq!(ended.expect("a change").limit_milli, None);
