--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -2,7 +2,7 @@
 //! request.
 
 mod named_limits;
-mod server_wishes;
+mod send_constraints;
 
 use std::net;
 use std::sync;
@@ -113,7 +113,7 @@
                 tracked_server::TrackedServer::new(&self.config, now_ms, backend)
             });
             server.backend = sync::Arc::clone(backend);
-            server.wishes.is_leaving = self.leaving.contains(incarnation);
+            server.constraints.is_leaving = self.leaving.contains(incarnation);
             servers.insert(incarnation, server);
             let incarnations = self.by_service.entry(backend.service.clone()).or_default();
             incarnations.push(incarnation);
--- a/src/gateway/backend_pool/named_limits.rs
+++ b/src/gateway/backend_pool/named_limits.rs
@@ -17,7 +17,7 @@
         sent_ms: u64,
         limit_per_s: Option<f64>,
     ) -> Option<gateway::LimitNotice> {
-        let known = self.servers.get(&incarnation)?.wishes.limit;
+        let known = self.servers.get(&incarnation)?.constraints.limit;
         let is_ended = known.is_some_and(|known| known.is_ended_by(sent_ms));
         if limit_per_s.is_none() && !is_ended {
             return None;
@@ -46,7 +46,12 @@
         now_ms: u64,
         incarnation: u64,
     ) -> Option<gateway::LimitNotice> {
-        let limit = self.servers.get_mut(&incarnation)?.wishes.limit.as_mut()?;
+        let limit = self
+            .servers
+            .get_mut(&incarnation)?
+            .constraints
+            .limit
+            .as_mut()?;
         limit.record_send(now_ms);
         Some(gateway::LimitNotice {
             has_request: true,
@@ -66,7 +71,7 @@
         let Some(server) = self.servers.get_mut(&incarnation) else {
             return false;
         };
-        let is_changed = match (&mut server.wishes.limit, limit_per_s) {
+        let is_changed = match (&mut server.constraints.limit, limit_per_s) {
             (None, None) => false,
             (Some(limit), Some(per_s)) => limit.set_rate(per_s),
             (limit, per_s) => {
--- a/src/gateway/backend_pool/server_wishes.rs
+++ b/src/gateway/backend_pool/send_constraints.rs
@@ -19,7 +19,7 @@
             return false;
         }
         if let Some(server) = self.servers.get_mut(&incarnation) {
-            server.wishes.is_leaving = true;
+            server.constraints.is_leaving = true;
             self.changes.push(gateway::HealthChange::Leaving {
                 is_own,
                 server: server.backend.id.clone(),
@@ -41,7 +41,7 @@
         )]
         let jitter_ms = (random_value * MAX_REST_JITTER_MS) as u64;
         let until_ms = now_ms + rest_ms + jitter_ms;
-        server.wishes.rest_until_ms = server.wishes.rest_until_ms.max(until_ms);
+        server.constraints.rest_until_ms = server.constraints.rest_until_ms.max(until_ms);
         self.changes.push(gateway::HealthChange::Rest {
             rest_ms,
             server: server.backend.id.clone(),
@@ -58,7 +58,7 @@
         request: &gateway::ChoiceRequest<'_>,
     ) -> Option<gateway::SendPermission> {
         let servers = self.untried_servers(request);
-        let closed = servers.map(|(_, server)| server.wishes.permission(now_ms));
+        let closed = servers.map(|(_, server)| server.constraints.permission(now_ms));
         let closed = closed.filter(|permission| permission.open_ms().is_some());
         closed.min_by_key(|permission| permission.open_ms())
     }
--- a/src/gateway/relay_peers.rs
+++ b/src/gateway/relay_peers.rs
@@ -2,7 +2,6 @@
 
 use std::net;
 
-use crate::configs;
 use crate::gateway;
 use crate::gateway::entry_points;
 
@@ -16,21 +15,6 @@
     least_version: u64,
 }
 
-/// Relay that an entry VM is chosen for.
-#[derive(Clone, Copy, Debug)]
-pub struct RelayRequest<'a> {
-    /// Settings of the gateway.
-    pub config: &'a configs::GatewayConfig,
-    /// Identity of this VM.
-    pub identity: &'a gateway::Identity,
-    /// Random value in `0.0..1.0` that decides between equal VMs.
-    pub random_value: f64,
-    /// Caller addresses of the VMs that the request was relayed to before.
-    pub tried: &'a [net::SocketAddr],
-    /// Entry VMs that are advertised or may be.
-    pub vms: &'a [gateway::EntryVm],
-}
-
 impl RelayPeers {
     /// Returns the caller address of the VM to relay a request to; `None` if no VM is
     /// left.
@@ -38,7 +22,11 @@
     /// Prefers the VMs that callers are sent to, because they know the servers' health,
     /// and among these the near ones.
     #[must_use]
-    pub fn choose(&self, now_ms: u64, request: &RelayRequest<'_>) -> Option<net::SocketAddr> {
+    pub fn choose(
+        &self,
+        now_ms: u64,
+        request: &gateway::RelayRequest<'_>,
+    ) -> Option<net::SocketAddr> {
         let advertised = entry_points::advertised(request.config, request.vms, None);
         let usable = request.vms.iter().filter(|vm| {
             let address = vm.caller_address;
--- a/src/gateway/tracked_server.rs
+++ b/src/gateway/tracked_server.rs
@@ -34,7 +34,7 @@
     /// Time until which the server is assumed to be unreachable.
     pub(super) unreachable_until_ms: u64,
     /// What the server has asked for.
-    pub(super) wishes: gateway::ServerWishes,
+    pub(super) constraints: gateway::SendConstraints,
 }
 
 impl TrackedServer {
@@ -55,13 +55,13 @@
             success_count: 0,
             suspicion: gateway::Suspicion::new(config),
             unreachable_until_ms: 0,
-            wishes: gateway::ServerWishes::default(),
+            constraints: gateway::SendConstraints::default(),
         }
     }
 
     /// Returns whether the server may be sent a request now.
     pub(super) fn allows_request(&self, now_ms: u64) -> bool {
-        self.wishes.permission(now_ms) == gateway::SendPermission::Granted
+        self.constraints.permission(now_ms) == gateway::SendPermission::Granted
     }
 
     /// Records the evidence from `count` requests on the server.
--- a/src/gateway/traffic_thread/attempt.rs
+++ b/src/gateway/traffic_thread/attempt.rs
@@ -114,7 +114,7 @@
     shared.record_server_response();
     let is_refusal = is_refusal(shared, routed, &head, is_new);
     if (is_refusal && !is_misdirected(&head)) || has_matching_id(shared, routed, &head) {
-        record_statement(shared, choice, sent_ms, &head);
+        server_statement::record(shared, choice, sent_ms, &head);
     }
     if is_refusal {
         return handle_server_refusal(shared, choice, connection, head);
@@ -154,46 +154,6 @@
     echoed.is_some_and(|echoed| echoed.as_bytes() == routed.request_id.as_bytes())
 }
 
-/// Records what a server states about itself in a response of its own.
-fn record_statement(
-    shared: &gateway::Shared,
-    choice: &gateway::Choice,
-    sent_ms: u64,
-    head: &http::Response<hyper::body::Incoming>,
-) {
-    let statement = server_statement::read(&shared.headers, head.status(), head.headers());
-    if statement.is_leaving {
-        shared.record_leaving(choice.incarnation);
-    }
-    match statement.limit_per_s {
-        Ok(limit_per_s) => shared.record_named_limit(choice, sent_ms, limit_per_s),
-        Err(limit) => {
-            let name = "server.limit-unreadable";
-            record_unreadable(shared, choice, name, &format!("limit={limit:?}"));
-        }
-    }
-    match statement.rest_ms {
-        Ok(Some(rest_ms)) => shared.record_rest(choice.incarnation, rest_ms),
-        Ok(None) => {}
-        Err(rest) => {
-            let name = "server.rest-unreadable";
-            record_unreadable(shared, choice, name, &format!("rest={rest:?}"));
-        }
-    }
-}
-
-fn record_unreadable(
-    shared: &gateway::Shared,
-    choice: &gateway::Choice,
-    name: &'static str,
-    field: &str,
-) {
-    shared.metrics.counters.add(name);
-    shared
-        .decision_log
-        .record(name, || format!("server={} {field}", choice.backend.id));
-}
-
 /// Returns a connection to the server, and whether it is a new one.
 async fn connect(
     shared: &gateway::Shared,
--- a/src/gateway/traffic_thread/mod.rs
+++ b/src/gateway/traffic_thread/mod.rs
@@ -14,5 +14,7 @@
 pub(super) mod response;
 pub(super) mod response_stream;
 pub(super) mod routed_request;
+pub(super) mod server_choice;
 pub(super) mod server_statement;
 pub(super) mod status_endpoints;
+pub(super) mod timed_attempt;
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -16,7 +16,8 @@
 use crate::gateway::traffic_thread::request_log;
 use crate::gateway::traffic_thread::response;
 use crate::gateway::traffic_thread::routed_request;
-use crate::ports;
+use crate::gateway::traffic_thread::server_choice;
+use crate::gateway::traffic_thread::timed_attempt;
 use crate::verdict;
 
 /// Retry delay sent to callers while this VM has no configuration, in
@@ -32,12 +33,8 @@
 const START_WAIT_DIVISOR: u64 = 4;
 /// Interval at which a request checks for the first configuration and registry.
 const START_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
-/// Retry delay sent to callers of a service without servers, in milliseconds.
-/// Servers register within two heartbeats.
-const NO_SERVER_RETRY_AFTER_MS: u64 = 700;
 /// Longest time for which a caller is expected to wait, in milliseconds.
 const MAX_CALLER_TIME_MS: u64 = 3_600_000;
-const MILLISECONDS_PER_S: f64 = 1_000.0;
 
 /// Serves a caller's request and returns the final response.
 ///
@@ -211,20 +208,20 @@
         if let Some(result) = relayed.await {
             return result;
         }
-        let Some(choice) = choose(shared, routed, history) else {
-            let (reason, retry_after_ms) = no_server(shared, routed, history);
+        let Some(choice) = server_choice::choose(shared, routed, history) else {
+            let (reason, retry_after_ms) = server_choice::no_server(shared, routed, history);
             return history.final_response(shared, routed, reason, retry_after_ms);
         };
         let server_guard = in_flight::ServerInFlightGuard::begin(shared, choice.incarnation);
-        if is_deadline_unmeetable(shared, routed, &choice) {
-            let retry_after_ms = retry_after_ms(shared, routed);
+        if server_choice::is_deadline_unmeetable(shared, routed, &choice) {
+            let retry_after_ms = server_choice::retry_after_ms(shared, routed);
             request_log::record_unmeetable_deadline(shared, routed, &choice);
             let reason = verdict::RefusalReason::QueueFull;
             return history.final_response(shared, routed, reason, retry_after_ms);
         }
         shared.announce_limited_request(&choice);
         let started_at = time::Instant::now();
-        let outcome = run_attempt(shared, routed, &choice, &mut body).await;
+        let outcome = timed_attempt::run(shared, routed, &choice, &mut body).await;
         let ran_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         drop(server_guard);
         let failure = match outcome {
@@ -267,7 +264,7 @@
         };
         let Some(reason) = reason else {
             request_log::record_denied_retry(shared, routed, &context, decision);
-            let retry_after_ms = retry_after_ms(shared, routed);
+            let retry_after_ms = server_choice::retry_after_ms(shared, routed);
             return history.final_response(shared, routed, failure.reason, retry_after_ms);
         };
         shared.metrics.counters.add_retry(reason);
@@ -284,139 +281,3 @@
         tokio::time::sleep(START_POLL_INTERVAL).await;
     }
 }
-
-fn choose(
-    shared: &gateway::Shared,
-    routed: &routed_request::RoutedRequest<'_>,
-    history: &attempt_history::AttemptHistory,
-) -> Option<gateway::Choice> {
-    let request = choice_request(shared, routed, history);
-    shared.backend_pool().choose(shared.now_ms(), &request)
-}
-
-/// Returns why there is no server for a request, and the time after which there may
-/// be one, in milliseconds.
-fn no_server(
-    shared: &gateway::Shared,
-    routed: &routed_request::RoutedRequest<'_>,
-    history: &attempt_history::AttemptHistory,
-) -> (verdict::RefusalReason, u64) {
-    let request = choice_request(shared, routed, history);
-    let now_ms = shared.now_ms();
-    let next_open = shared.backend_pool().next_open(now_ms, &request);
-    let (reason, open_ms) = match next_open {
-        Some(gateway::SendPermission::Limited(open_ms)) => {
-            (verdict::RefusalReason::ServerLimit, open_ms)
-        }
-        Some(gateway::SendPermission::Resting(open_ms)) => {
-            (verdict::RefusalReason::ServerRest, open_ms)
-        }
-        _ => return (verdict::RefusalReason::NoServer, NO_SERVER_RETRY_AFTER_MS),
-    };
-    let wait_ms = open_ms.saturating_sub(now_ms);
-    let retry_after_ms = wait_ms + gateway::retry_after_ms(0.0, shared.random_value());
-    (reason, retry_after_ms)
-}
-
-fn choice_request<'a>(
-    shared: &'a gateway::Shared,
-    routed: &'a routed_request::RoutedRequest<'_>,
-    history: &'a attempt_history::AttemptHistory,
-) -> gateway::ChoiceRequest<'a> {
-    let is_upload = routed.route.kind == ports::RequestKind::Upload;
-    let distance = &shared.config.distance;
-    gateway::ChoiceRequest {
-        availability_zone: &shared.identity.availability_zone,
-        random_value: shared.random_value(),
-        excluded: &history.incarnations,
-        region: &shared.identity.region,
-        region_cost: if is_upload {
-            distance.upload_region_cost
-        } else {
-            distance.region_cost
-        },
-        service: routed.service,
-        zone_cost: if is_upload {
-            distance.upload_zone_cost
-        } else {
-            distance.zone_cost
-        },
-    }
-}
-
-fn is_deadline_unmeetable(
-    shared: &gateway::Shared,
-    routed: &routed_request::RoutedRequest<'_>,
-    choice: &gateway::Choice,
-) -> bool {
-    let mean_run_ms = shared.backend_pool().mean_run_ms(routed.service);
-    let slot_count = choice.backend.slot_count;
-    gateway::cannot_meet_deadline(
-        choice.in_flight,
-        slot_count,
-        mean_run_ms,
-        routed.time_left_ms(),
-    )
-}
-
-fn retry_after_ms(shared: &gateway::Shared, routed: &routed_request::RoutedRequest<'_>) -> u64 {
-    let mean_run_ms = shared.backend_pool().mean_run_ms(routed.service);
-    gateway::retry_after_ms(mean_run_ms, shared.random_value())
-}
-
-/// Runs an attempt. If this VM is cut off from all servers meanwhile, an attempt that
-/// may be repeated ends, so that another VM can make the next one.
-async fn run_while_reached(
-    shared: &sync::Arc<gateway::Shared>,
-    routed: &routed_request::RoutedRequest<'_>,
-    choice: &gateway::Choice,
-    body: &mut caller_body::CallerBody,
-) -> attempt::AttemptOutcome {
-    let attempt = attempt::run(shared, routed, choice, body);
-    if !routed.route.kind.may_repeat() {
-        return attempt.await;
-    }
-    tokio::select! {
-        outcome = attempt => outcome,
-        () = shared.servers_lost.notified() => {
-            let reason = verdict::RefusalReason::ServersUnreachable;
-            attempt::AttemptOutcome::Failed(attempt::AttemptFailure::unanswered(reason))
-        }
-    }
-}
-
-/// Runs an attempt. If the response is long overdue by the service's usual run
-/// time, records this as evidence of a failing server before the request's own
-/// deadline.
-async fn run_attempt(
-    shared: &sync::Arc<gateway::Shared>,
-    routed: &routed_request::RoutedRequest<'_>,
-    choice: &gateway::Choice,
-    body: &mut caller_body::CallerBody,
-) -> attempt::AttemptOutcome {
-    let begun_ms = shared.now_ms();
-    let mut attempt = std::pin::pin!(run_while_reached(shared, routed, choice, body));
-    let mean_run_ms = shared.backend_pool().mean_run_ms(routed.service);
-    let overdue = time::Duration::from_secs_f64(
-        mean_run_ms * shared.config.suspicion.slow_factor / MILLISECONDS_PER_S,
-    );
-    if let Ok(outcome) = tokio::time::timeout(overdue, attempt.as_mut()).await {
-        return outcome;
-    }
-    // A VM that hears from no server is cut off, or knows nothing of this one.
-    if shared.server_reach().has_response_since(begun_ms) {
-        shared.record_evidence(choice, gateway::Evidence::Failure);
-    }
-    shared.metrics.counters.add("attempt.overdue");
-    shared.decision_log.record("attempt.overdue", || {
-        format!(
-            "id={} service={} server={} after_ms={} usual_ms={mean_run_ms:.0} left_ms={}",
-            routed.request_id,
-            routed.service,
-            choice.backend.id,
-            overdue.as_millis(),
-            routed.time_left_ms()
-        )
-    });
-    attempt.await
-}
--- a/src/gateway/traffic_thread/relay.rs
+++ b/src/gateway/traffic_thread/relay.rs
@@ -17,6 +17,7 @@
 /// Maximum number of VMs that a request is relayed to. Most VMs of a region may be cut
 /// off, and each declines at once.
 const MAX_RELAYS: usize = 8;
+
 /// Lets another entry VM handle a request that this VM cannot send to a server itself.
 ///
 /// Returns `None` if this VM is to go on by itself: it is not cut off, and no other VM
--- a/src/gateway/traffic_thread/server_statement.rs
+++ b/src/gateway/traffic_thread/server_statement.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::gateway;
 use crate::ports;
 
 /// Largest limit that is taken for one, in requests a second.
@@ -23,6 +24,46 @@
     pub rest_ms: Result<Option<u64>, String>,
 }
 
+/// Records what a server states about itself in a response of its own.
+pub fn record(
+    shared: &gateway::Shared,
+    choice: &gateway::Choice,
+    sent_ms: u64,
+    head: &http::Response<hyper::body::Incoming>,
+) {
+    let statement = read(&shared.headers, head.status(), head.headers());
+    if statement.is_leaving {
+        shared.record_leaving(choice.incarnation);
+    }
+    match statement.limit_per_s {
+        Ok(limit_per_s) => shared.record_named_limit(choice, sent_ms, limit_per_s),
+        Err(limit) => {
+            let name = "server.limit-unreadable";
+            record_unreadable(shared, choice, name, &format!("limit={limit:?}"));
+        }
+    }
+    match statement.rest_ms {
+        Ok(Some(rest_ms)) => shared.record_rest(choice.incarnation, rest_ms),
+        Ok(None) => {}
+        Err(rest) => {
+            let name = "server.rest-unreadable";
+            record_unreadable(shared, choice, name, &format!("rest={rest:?}"));
+        }
+    }
+}
+
+fn record_unreadable(
+    shared: &gateway::Shared,
+    choice: &gateway::Choice,
+    name: &'static str,
+    field: &str,
+) {
+    shared.metrics.counters.add(name);
+    shared
+        .decision_log
+        .record(name, || format!("server={} {field}", choice.backend.id));
+}
+
 /// Reads the statements in the head of a response.
 ///
 /// Only a server that turns a request away asks for rest. In other responses,
--- a/tests/gateway/send_permission.rs
+++ b/tests/gateway/send_permission.rs
@@ -16,16 +16,16 @@
         }
         Some(limit)
     };
-    let open = gateway::ServerWishes::default();
-    let leaving = gateway::ServerWishes {
+    let open = gateway::SendConstraints::default();
+    let leaving = gateway::SendConstraints {
         is_leaving: true,
         ..open
     };
-    let limited = gateway::ServerWishes {
+    let limited = gateway::SendConstraints {
         limit: limit(3),
         ..open
     };
-    let resting = gateway::ServerWishes {
+    let resting = gateway::SendConstraints {
         rest_until_ms: 3_000,
         ..open
     };
@@ -36,42 +36,42 @@
         ("resting", resting),
         (
             "limit with room",
-            gateway::ServerWishes {
+            gateway::SendConstraints {
                 limit: limit(1),
                 ..open
             },
         ),
         (
             "leaving, limited",
-            gateway::ServerWishes {
+            gateway::SendConstraints {
                 is_leaving: true,
                 ..limited
             },
         ),
         (
             "leaving, resting",
-            gateway::ServerWishes {
+            gateway::SendConstraints {
                 is_leaving: true,
                 ..resting
             },
         ),
         (
             "limited, rests for longer",
-            gateway::ServerWishes {
+            gateway::SendConstraints {
                 rest_until_ms: 3_000,
                 ..limited
             },
         ),
         (
             "rests, limited for longer",
-            gateway::ServerWishes {
+            gateway::SendConstraints {
                 limit: limit(6),
                 ..resting
             },
         ),
     ];
-    let table = given.map(|(name, wishes)| {
-        let at = |now_ms| wishes.permission(now_ms);
+    let table = given.map(|(name, constraints)| {
+        let at = |now_ms| constraints.permission(now_ms);
         format!("{name}: {:?}, {:?}, {:?}", at(0), at(2_500), at(6_000))
     });
     expect_test::expect![[r"
