Keep a server that drains out of use through the removal of its older record

A removal that is deferred after a restore ended the hold on a row, so a server that drains was shown as ready from the older copy; a row pulled with a deferred removal brought an earlier incarnation back; and a record that repeats what a VM knew from the earlier era did not move its row into the new one, so that VMs that had not known the server never pulled it.

--- a/src/gateway/backend_table.rs
+++ b/src/gateway/backend_table.rs
@@ -304,23 +304,22 @@
         now_ms: u64,
         entry: ports::FeedEntry<ports::Backend>,
     ) -> Option<gateway::BackendChange> {
-        let known = self.rows.get_mut(&entry.key);
-        if known
-            .as_ref()
-            .is_some_and(|row| row.revision > entry.offset + 1)
-        {
+        let known = self.rows.get(&entry.key);
+        if known.is_some_and(|row| row.revision > entry.offset + 1) {
             return None;
         }
+        let shown = known.and_then(|row| self.shown(&entry.key, row)).cloned();
+        let known = self.rows.get_mut(&entry.key);
         let (backend, fault) = match entry.value {
             Ok(backend) => (backend, None),
             Err(fault) => (None, Some(fault)),
         };
         let is_known = known.is_some();
         if let Some(row) = known {
-            let is_registered = row.backend.is_some();
-            if backend.is_none() && fault.is_none() && is_registered && now_ms < self.grace_until_ms
-            {
+            let is_removal = backend.is_none() && fault.is_none();
+            if is_removal && shown.is_some() && now_ms < self.grace_until_ms {
                 let removal_due_in_ms = self.grace_until_ms - now_ms;
+                row.backend = shown;
                 row.revision = entry.offset + 1;
                 row.removal_due_in_ms = Some(removal_due_in_ms);
                 row.updated_ms = now_ms;
@@ -337,6 +336,12 @@
             if !was_removal_deferred
                 && is_same_except_warmup(row.backend.as_deref(), backend.as_ref())
             {
+                // In an earlier era, the row may come from a record that the store lost.
+                // Other VMs may not have had it.
+                if restored_store::era(entry.offset) > restored_store::era(row.revision) {
+                    row.revision = entry.offset + 1;
+                    self.revision = self.revision.max(row.revision);
+                }
                 return None;
             }
         }
--- a/src/gateway/backend_table/restored_store.rs
+++ b/src/gateway/backend_table/restored_store.rs
@@ -21,13 +21,16 @@
 
 impl backend_table::BackendTable {
     /// Takes over what is known here of the end of a server to a row whose removal another
-    /// VM has deferred, without that knowledge: that it drains, or was removed before.
+    /// VM has deferred, without that knowledge: that it drains, was removed before, or
+    /// has started anew since.
     pub(super) fn keep_known_end(&self, key: &str, row: &mut backend_row::BackendRow) {
         let (Some(known), Some(backend)) = (self.rows.get(key), &row.backend) else {
             return;
         };
         match self.shown(key, known) {
-            Some(shown) if is_undrained(shown, backend) => {
+            Some(shown)
+                if is_undrained(shown, backend) || shown.born_unix_ms > backend.born_unix_ms =>
+            {
                 row.backend = Some(sync::Arc::clone(shown));
             }
             None if self.removed_ms.contains_key(&backend.incarnation()) => {
@@ -123,7 +126,8 @@
     }
 }
 
-const fn era(position: u64) -> u64 {
+/// Returns the era of a position of the store.
+pub(super) const fn era(position: u64) -> u64 {
     ports::StorePosition::from_packed(position).era
 }
 
