Raise a table's revision by a row that was pulled ahead of it

A row that changes while its source sends its table comes with a later revision than the table's. When the VM then read the same record from the store, nothing changed, and its table's revision stayed behind; VMs at that revision with an older row never pulled it.

--- a/src/gateway/backend_table.rs
+++ b/src/gateway/backend_table.rs
@@ -340,6 +340,9 @@
                 // Other VMs may not have had it.
                 if restored_store::era(entry.offset) > restored_store::era(row.revision) {
                     row.revision = entry.offset + 1;
+                }
+                // The row may have been pulled ahead of the rest of its source's table.
+                if row.revision == entry.offset + 1 {
                     self.revision = self.revision.max(row.revision);
                 }
                 return None;
