Take lost responses for failures of their servers, however many in a row

When traffic begins, responses are lost at once and good ones take half a second, so VMs went on to use the servers that lost them.

Only connections that cannot be opened and health checks without a response are misses now; a loss counts against its server unless the VM is cut off already.

--- a/src/gateway/server_reach.rs
+++ b/src/gateway/server_reach.rs
@@ -45,11 +45,14 @@
         std::mem::take(&mut self.is_cut_off)
     }
 
-    /// Records that a server could not be reached, or that the connection to it was
-    /// lost before it responded. Returns whether the VM is cut off from now on.
+    /// Records that no connection to a server could be opened, or that it did not respond
+    /// to a health check. Returns whether the VM is cut off from now on.
+    ///
+    /// A connection that is lost later is no miss: servers may run requests and lose their
+    /// responses, many of them at once.
     pub fn record_miss(&mut self, now_ms: u64, incarnation: u64) -> bool {
         self.missed.insert(incarnation);
-        if self.is_cut_off || !self.is_path_at_fault() {
+        if self.is_cut_off || self.missed.len() < MISSES_OF_PATH {
             return false;
         }
         self.is_cut_off = true;
@@ -63,13 +66,6 @@
         self.is_cut_off
     }
 
-    /// Returns whether so many servers were missed in a row that the misses say nothing
-    /// about any of them.
-    #[must_use]
-    pub fn is_path_at_fault(&self) -> bool {
-        self.missed.len() >= MISSES_OF_PATH
-    }
-
     /// Returns whether any server has responded since `from_ms`.
     #[must_use]
     pub fn has_response_since(&self, from_ms: u64) -> bool {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -148,8 +148,8 @@
         }
     }
 
-    /// Records that a server could not be reached, or that the connection to it was lost
-    /// before it responded.
+    /// Records that no connection to a server could be opened, or that it did not respond
+    /// to a health check.
     pub fn record_server_miss(&self, incarnation: u64) {
         let now_ms = self.now_ms();
         let is_cut_off = self.server_reach().record_miss(now_ms, incarnation);
--- a/src/gateway/traffic_thread/attempt.rs
+++ b/src/gateway/traffic_thread/attempt.rs
@@ -100,8 +100,6 @@
         Ok(Err(http1::ExchangeError::ConnectionBroken { source })) => {
             if source.is_parse() {
                 shared.record_server_response();
-            } else {
-                shared.record_server_miss(choice.incarnation);
             }
             let reason = verdict::RefusalReason::ConnectionLost;
             return AttemptOutcome::Failed(AttemptFailure::unanswered(reason));
--- a/src/gateway/traffic_thread/request_log.rs
+++ b/src/gateway/traffic_thread/request_log.rs
@@ -70,12 +70,12 @@
     ran_ms: u64,
 ) {
     let is_overdue = failure.reason == verdict::RefusalReason::DeadlineExceeded;
-    // Failures of several servers in a row are due to this VM's own path to them.
-    let is_path_at_fault = shared.server_reach().is_path_at_fault();
-    if failure.end == gateway::AttemptEnd::Unanswered && !is_overdue && !is_path_at_fault {
+    // What a VM loses that is cut off says nothing of the servers.
+    let is_cut_off = shared.server_reach().is_cut_off();
+    if failure.end == gateway::AttemptEnd::Unanswered && !is_overdue && !is_cut_off {
         shared.record_evidence(choice, gateway::Evidence::Failure);
     }
-    let has_server_died = failure.has_server_died && !is_path_at_fault;
+    let has_server_died = failure.has_server_died && !is_cut_off;
     if let Some(fingerprint) = routed.fingerprint.filter(|_| has_server_died) {
         shared.record_server_death(fingerprint, ran_ms, &choice.backend.id);
     }
