Answer requests that outlast a planned stop, and begin none that would

Cause: a VM that leaves takes requests for 46% of its grace time whatever they need, begins second attempts to its end, and then exits: the callers' connections closed without a response, also for requests that may run only once.

Change: a VM that leaves begins an attempt only if the time that is left is more than what the route's requests take: mean and four mean deviations, six for requests that run once, the target latency before the first response. Others get a refusal that says that they have not run, or what their earlier attempt left. What is in flight at the end gets a final response that says that it may have run.

--- a/src/gateway/leave.rs
+++ b/src/gateway/leave.rs
@@ -22,11 +22,17 @@
 /// Time for the last responses and log lines to be written.
 const FLUSH_TIME: time::Duration = time::Duration::from_millis(120);
 
+/// Records that this VM begins to shut down.
+pub fn begin(shared: &gateway::Shared) {
+    let time_ms = shared.bounds.grace_ms.saturating_sub(END_MARGIN_MS);
+    shared.leave.begin(shared.now_ms() + time_ms);
+}
+
 /// Shuts down this VM gracefully.
 ///
 /// Keeps accepting requests for a part of the grace time, then closes idle
-/// connections, and returns when no request is in flight, at the latest
-/// `END_MARGIN_MS` before the forced termination.
+/// connections, and returns when no request is in flight. `END_MARGIN_MS` before the
+/// forced termination, the requests that are still in flight get their final responses.
 pub async fn leave(shared: &sync::Arc<gateway::Shared>, closing: &watch::Sender<bool>) {
     let started_at = tokio::time::Instant::now();
     let grace_ms = shared.bounds.grace_ms;
@@ -47,6 +53,7 @@
     if remaining == 0 {
         telemetry::Event::Left.info(&format!("name=leave.done took_ms={took_ms}"));
     } else {
+        shared.leave.end();
         telemetry::Event::LeaveTimedOut.warn(&format!(
             "name=leave.timed-out in_flight={remaining} took_ms={took_ms}"
         ));
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -45,8 +45,8 @@
     pub identification_waits: tokio::sync::Semaphore,
     /// Number of requests that were read and have no final response yet.
     pub in_flight: atomic::AtomicUsize,
-    /// Whether this VM is shutting down.
-    pub is_leaving: atomic::AtomicBool,
+    /// State of the graceful shutdown of this VM.
+    pub leave: gateway::LeaveState,
     /// Log of decisions, limited in its number of lines.
     pub decision_log: telemetry::DecisionLog,
     /// Memory that requests and responses take up.
@@ -69,6 +69,8 @@
     pub request_queues: gateway::RequestQueues,
     /// Retry budgets by service.
     pub retry_budgets: sync::Mutex<indexmap::IndexMap<String, gateway::RetryBudget>>,
+    /// Run times of requests by route.
+    pub run_times: sync::Mutex<gateway::RunTimes>,
     /// Whether this VM reaches the backend servers.
     pub server_reach: sync::Mutex<gateway::ServerReach>,
     /// Wakes the requests that wait for a server when this VM is cut off from all.
@@ -147,7 +149,7 @@
     /// Returns whether this VM is shutting down.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(atomic::Ordering::Relaxed)
+        self.leave.has_begun()
     }
 
     /// Returns whether the configuration in force has a route with large responses.
@@ -184,6 +186,13 @@
         }
     }
 
+    /// Locks and returns the run times of requests by route.
+    pub fn run_times(&self) -> sync::MutexGuard<'_, gateway::RunTimes> {
+        self.run_times
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     /// Locks and returns whether this VM reaches the backend servers.
     pub fn server_reach(&self) -> sync::MutexGuard<'_, gateway::ServerReach> {
         self.server_reach
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -134,7 +134,7 @@
         identity: parts.identity,
         identification_waits: tokio::sync::Semaphore::new(MAX_IDENTIFICATION_WAITS),
         in_flight: sync::atomic::AtomicUsize::new(0),
-        is_leaving: sync::atomic::AtomicBool::new(false),
+        leave: gateway::LeaveState::default(),
         decision_log: telemetry::DecisionLog::new(),
         memory,
         metrics: gateway::Metrics::new(),
@@ -146,6 +146,7 @@
         relay_peers: sync::Mutex::new(gateway::RelayPeers::default()),
         request_queues: gateway::RequestQueues::default(),
         retry_budgets: sync::Mutex::new(indexmap::IndexMap::new()),
+        run_times: sync::Mutex::new(gateway::RunTimes::default()),
         server_reach: sync::Mutex::new(gateway::ServerReach::default()),
         servers_lost: tokio::sync::Notify::new(),
         snapshot: arc_swap::ArcSwap::default(),
@@ -240,9 +241,7 @@
             _ = reloads.recv() => reload(&shared, settings.as_ref(), &sender).await,
         }
     }
-    shared
-        .is_leaving
-        .store(true, sync::atomic::Ordering::Relaxed);
+    leave::begin(&shared);
     let _ = sender.send(control_event::ControlEvent::Leave).await;
     leave::leave(&shared, &closing).await;
     Ok(())
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -54,15 +54,20 @@
     let started_at = arrived_at.map_or_else(tokio::time::Instant::now, |arrived_at| arrived_at.0);
     let id = head.headers.get(&shared.headers.request_id);
     let request_id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
-    let result = handle(
+    let handling = handle(
         &shared,
         &request_id,
         started_at,
         &mut credentials,
         head,
         body,
-    )
-    .await;
+    );
+    let result = tokio::select! {
+        result = handling => result,
+        () = shared.leave.ended() => {
+            Err(verdict::Refusal::may_have_run(verdict::RefusalReason::Leaving, 0))
+        }
+    };
     let relay = credentials.relay;
     let relay_outcome = relay.map(|_| relay::outcome(&shared, &result));
     let mut response = result.unwrap_or_else(|refusal| {
@@ -273,6 +278,9 @@
         if let Err(refusal) = caller_identity::check_again(shared, routed, version) {
             return history.refuse(shared, routed, refusal);
         }
+        if let Some(refusal) = refuse_if_outlasting(shared, routed) {
+            return history.refuse(shared, routed, refusal);
+        }
         allowance.admit(routed).await?;
         allowance.begin_attempt();
         let relayed = relay::run_if_out_of_reach(shared, routed, history, &mut body, version);
@@ -341,6 +349,23 @@
     }
 }
 
+/// Refuses a request if this VM shuts down and an attempt may take longer than the time
+/// that is left.
+///
+/// Load pattern: callers keep the address of a VM for some seconds after it has begun to
+/// shut down, and some requests take nearly as long as its grace time.
+fn refuse_if_outlasting(
+    shared: &gateway::Shared,
+    routed: &routed_request::RoutedRequest<'_>,
+) -> Option<verdict::Refusal> {
+    let left_ms = shared.leave.time_left_ms(shared.now_ms())?;
+    let high_ms = shared.run_times().high_ms(routed.route);
+    (high_ms.min(routed.time_left_ms()) > left_ms).then(|| {
+        let retry_after_ms = gateway::retry_after_ms(0.0, shared.random_value());
+        verdict::Refusal::not_run(verdict::RefusalReason::Leaving, retry_after_ms)
+    })
+}
+
 /// Decides whether a request is retried after a failed attempt, and charges the retry
 /// budget.
 fn is_retried(
--- a/src/gateway/traffic_thread/request_log.rs
+++ b/src/gateway/traffic_thread/request_log.rs
@@ -27,6 +27,7 @@
     if status.is_server_error() && status != http::StatusCode::GATEWAY_TIMEOUT {
         shared.record_evidence(choice, gateway::Evidence::Failure);
     } else if !status.is_server_error() {
+        shared.run_times().record(routed.route, ran_ms);
         let evidence = shared
             .backend_pool()
             .record_run_time(routed.service, latency_ms);
