--- a/src/gateway/load_report.rs
+++ b/src/gateway/load_report.rs
@@ -13,8 +13,7 @@
 /// Load that one VM puts on one incarnation of a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct ServerLoad {
-    /// Requests of the VM in flight on the server, and slots that the VM keeps for its next
-    /// requests.
+    /// Requests of the VM in flight on the server.
     pub in_flight: u32,
     /// Incarnation of the server.
     #[serde(rename = "lifetime")]
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -38,6 +38,8 @@
 mod queueing_replay;
 #[path = "gateway/read_schedule.rs"]
 mod read_schedule;
+#[path = "gateway/recorded_messages.rs"]
+mod recorded_messages;
 #[path = "gateway/registry.rs"]
 mod registry;
 #[path = "gateway/registry_random.rs"]
