--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -3,6 +3,7 @@
 
 mod free_slots;
 mod named_limits;
+mod risk;
 mod send_constraints;
 
 use std::net;
@@ -31,14 +32,6 @@
 const INITIAL_MEAN_RUN_MS: f64 = 300.0;
 /// Maximum number of successes that one load report adds for a server.
 const MAX_REPORTED_SUCCESSES: u32 = 4;
-/// Cost of a server that is failing with probability 1, for a request that can still be
-/// served elsewhere after the failure, in units of load.
-///
-/// By default, this is more than another zone and another region cost together
-/// for requests other than uploads, and less than `UNREACHABLE_COST`.
-const SUSPICION_COST: f64 = 2.5;
-/// Additional cost of such a server for a request that is lost with the failure.
-const LOSS_COST: f64 = 5.0;
 /// Cost of a server that could not be reached, in units of load.
 const UNREACHABLE_COST: f64 = 4.0;
 /// Reduction of the cost of a server that must receive a request to keep the
@@ -460,29 +453,6 @@
         use_floor::required_servers(&same_region, required)
     }
 
-    /// Removes the servers that are at least as suspect as one without evidence if the
-    /// request would be lost with a failure and others of the service would not be.
-    fn leave_probes_to_retryable_requests(
-        &mut self,
-        now_ms: u64,
-        required: &mut Vec<u64>,
-        candidates: &[(u64, f64)],
-        request: &gateway::ChoiceRequest<'_>,
-    ) {
-        let health = self.services.entry(service_hash(request.service));
-        let health = health.or_default();
-        if request.may_retry {
-            health.record_retryable(now_ms);
-        } else if health.has_recent_retryable(now_ms) {
-            let max_suspicion = self.config.unknown_probability;
-            let suspects = candidates
-                .iter()
-                .filter(|(_, suspicion)| *suspicion >= max_suspicion);
-            let suspects: Vec<u64> = suspects.map(|(incarnation, _)| *incarnation).collect();
-            required.retain(|incarnation| !suspects.contains(incarnation));
-        }
-    }
-
     /// Returns whether so many of a service's recent requests failed that all of its
     /// servers are used.
     fn is_degraded(&self, now_ms: u64, service: &str) -> bool {
@@ -545,25 +515,6 @@
         Some(cost)
     }
 
-    /// Returns the cost of the risk that a server fails the request, in units of load.
-    ///
-    /// Where no requests of the service can be retried, a server without evidence costs
-    /// little for the others: one of them has to try it.
-    fn risk_cost(&self, now_ms: u64, suspicion: f64, request: &gateway::ChoiceRequest<'_>) -> f64 {
-        let cost = SUSPICION_COST * suspicion;
-        if request.may_retry {
-            return cost;
-        }
-        let health = self.services.get(&service_hash(request.service));
-        let has_retryable = health.is_some_and(|health| health.has_recent_retryable(now_ms));
-        let tolerated = if has_retryable {
-            0.0
-        } else {
-            self.config.unknown_probability
-        };
-        cost + LOSS_COST * (suspicion - tolerated).max(0.0)
-    }
-
     /// Returns the number of requests in flight on a server, from this VM and from
     /// the VMs that report to it.
     fn in_flight(&self, now_ms: u64, incarnation: u64) -> u32 {
--- a/tests/gateway/recorded_messages.rs
+++ b/tests/gateway/recorded_messages.rs
@@ -70,7 +70,7 @@
         assert_eq!(format!("{decoded:?}"), format!("{message:?}"));
         let _ = writeln!(text, "{}", hex(&bytes));
     }
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         0000ac02
         0001ac02
         0002ac02
@@ -79,6 +79,6 @@
         0501fa010c0d00900301
         0601ac0201c413
         07ac02
-    "#]]
+    "]]
     .assert_eq(&text);
 }
