Log counts of requests and retries that no suppressed line can hide

Change: once a second, each VM logs for each service that had retries the number of requests, arrivals at servers, retries and denied retries since its start (FW0062).

--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -221,6 +221,7 @@
         if now_ms >= self.next_cleanup_ms {
             self.next_cleanup_ms = now_ms + CLEANUP_INTERVAL_MS;
             self.clean_up(now_ms);
+            self.shared.log_retry_counts();
             // An increase of this VM's share of the retry slack takes effect only
             // after a delay, so the snapshot has to be renewed regularly.
             self.publish();
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -2,6 +2,8 @@
 
 use std::collections;
 
+use crate::gateway;
+
 /// Width of a bucket of the sliding window, in milliseconds.
 const BUCKET_MS: u64 = 250;
 const MILLI_PER_RETRY: u64 = 1_000;
@@ -17,6 +19,8 @@
 pub struct RetryBudget {
     ratio_permille: u64,
     buckets: collections::VecDeque<Bucket>,
+    counts: gateway::RetryCounts,
+    logged_counts: gateway::RetryCounts,
     window_ms: u64,
 }
 
@@ -35,13 +39,36 @@
         Self {
             ratio_permille,
             buckets: collections::VecDeque::new(),
+            counts: gateway::RetryCounts::ZERO,
+            logged_counts: gateway::RetryCounts::ZERO,
             window_ms,
         }
     }
 
+    /// Counts an attempt that is sent to a server.
+    pub const fn record_arrival(&mut self) {
+        self.counts.arrivals_count += 1;
+    }
+
+    /// Takes back an attempt of which no byte was sent after all.
+    pub const fn take_back_arrival(&mut self) {
+        self.counts.arrivals_count = self.counts.arrivals_count.saturating_sub(1);
+    }
+
+    /// Returns the counts since the start if there were retries, made or denied, since
+    /// the last call that returned counts.
+    pub fn take_new_counts(&mut self) -> Option<gateway::RetryCounts> {
+        if !self.counts.has_retries_since(&self.logged_counts) {
+            return None;
+        }
+        self.logged_counts = self.counts;
+        Some(self.counts)
+    }
+
     /// Counts the first attempt of a request.
     pub fn record_request(&mut self, now_ms: u64) {
         self.current_bucket(now_ms).requests += 1;
+        self.counts.requests_count += 1;
     }
 
     /// Counts a retry and returns `true` if the budget allows it.
@@ -63,9 +90,11 @@
             .sum::<u64>();
         let allowed_milli = requests * self.ratio_permille + slack_milli;
         if (retries + 1) * MILLI_PER_RETRY > allowed_milli {
+            self.counts.denied_count += 1;
             return false;
         }
         self.current_bucket(now_ms).retries += 1;
+        self.counts.retries_count += 1;
         true
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -346,6 +346,35 @@
         self.with_retry_budget(service, |budget| budget.record_request(now_ms));
     }
 
+    /// Counts an attempt that is sent to a server of `service`.
+    pub fn record_arrival(&self, service: &str) {
+        self.with_retry_budget(service, gateway::RetryBudget::record_arrival);
+    }
+
+    /// Takes back an attempt of which no byte was sent after all.
+    pub fn take_back_arrival(&self, service: &str) {
+        self.with_retry_budget(service, gateway::RetryBudget::take_back_arrival);
+    }
+
+    /// Logs the requests and retries of each service that had retries since the last
+    /// call.
+    pub fn log_retry_counts(&self) {
+        let slack_milli = self.snapshot.load().retry_slack_milli;
+        for (service, budget) in &mut *self.lock_retry_budgets() {
+            let Some(counts) = budget.take_new_counts() else {
+                continue;
+            };
+            telemetry::Event::RetryCounts.info(&format!(
+                "name=retry.counts service={service} requests={} arrivals={} retries={} \
+                 denied={} slack_milli={slack_milli}",
+                counts.requests_count,
+                counts.arrivals_count,
+                counts.retries_count,
+                counts.denied_count,
+            ));
+        }
+    }
+
     /// Charges a retry to a service's budget. Returns whether the budget allows it.
     #[must_use]
     pub fn try_retry(&self, service: &str) -> bool {
@@ -379,10 +408,7 @@
         service: &str,
         update: impl FnOnce(&mut gateway::RetryBudget) -> T,
     ) -> T {
-        let mut budgets = self
-            .retry_budgets
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut budgets = self.lock_retry_budgets();
         if !budgets.contains_key(service) {
             let bounds = &self.bounds;
             let budget =
@@ -391,4 +417,12 @@
         }
         update(&mut budgets[service])
     }
+
+    fn lock_retry_budgets(
+        &self,
+    ) -> sync::MutexGuard<'_, indexmap::IndexMap<String, gateway::RetryBudget>> {
+        self.retry_budgets
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
 }
--- a/src/gateway/traffic_thread/attempt.rs
+++ b/src/gateway/traffic_thread/attempt.rs
@@ -92,10 +92,12 @@
     let request = backend_request(shared, routed, choice, body.attempt_body());
     let sent_ms = shared.now_ms();
     shared.server_reach().record_sent(sent_ms);
+    shared.record_arrival(routed.service);
     let exchange = connection.exchange(request);
     let head = match tokio::time::timeout_at(routed.deadline, exchange).await {
         Ok(Ok(head)) => head,
         Ok(Err(http1::ExchangeError::NotSent)) => {
+            shared.take_back_arrival(routed.service);
             return AttemptOutcome::Failed(AttemptFailure::not_sent());
         }
         Ok(Err(http1::ExchangeError::ConnectionBroken { source })) => {
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -63,6 +63,8 @@
     Decision = 60,
     /// Log lines were suppressed because too many were written.
     LinesLeftOut = 61,
+    /// Counts of the requests and retries of a service.
+    RetryCounts = 62,
 }
 
 impl Event {
