--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,8 @@
 mod backend_pool;
 #[path = "gateway/budget_random.rs"]
 mod budget_random;
+#[path = "gateway/budget_restarts.rs"]
+mod budget_restarts;
 #[path = "gateway/choice_replay.rs"]
 mod choice_replay;
 #[path = "gateway/cold_start.rs"]
