Keep the share of the slack in each window, and give a VM none in its first

Change: beside what its requests have paid for, a VM may retry while its retries in the last window are below its share. The bound is the same: at the last retry that used the share so, the retries of the window are at most the share, and all later ones are paid for by requests of the window. A restarted VM has no share in its first window, in which retries of its earlier process may lie; the twelfth at the start is left for a VM whose settings name no other VM.

--- a/src/gateway/control_thread/control.rs
+++ b/src/gateway/control_thread/control.rs
@@ -35,6 +35,9 @@
 /// Least difference between two confirmations of the configuration that are published one
 /// after the other, in milliseconds.
 const MIN_CONFIRMATION_STEP_MS: u64 = 50;
+/// Part of the fleet's retry slack that a VM whose settings name no other VM has in its
+/// first window, as a divisor.
+const LONE_VM_SHARE_DIVISOR: u64 = 12;
 /// Time between two cleanup passes, in milliseconds.
 const CLEANUP_INTERVAL_MS: u64 = 1_000;
 
@@ -623,7 +626,16 @@
     }
 }
 
+/// Returns the share of the retry slack of a VM that has just started: none if its
+/// settings name other VMs, which may be restarted as well.
 fn slack_share(shared: &gateway::Shared) -> gateway::SlackShare {
     let window_ms = shared.bounds.retry_window_ms;
-    gateway::SlackShare::new(shared.now_ms(), window_ms, shared.retry_slack_milli())
+    let own = shared.identity.peer_address;
+    let has_others = shared.identity.seeds.iter().any(|seed| *seed != own);
+    let first_milli = if has_others {
+        0
+    } else {
+        shared.retry_slack_milli() / LONE_VM_SHARE_DIVISOR
+    };
+    gateway::SlackShare::new(shared.now_ms(), window_ms, first_milli)
 }
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -8,8 +8,8 @@
 const BUCKET_MS: u64 = 250;
 const MILLI_PER_RETRY: u64 = 1_000;
 
-/// Retry budget of one VM for one service: a ratio of the VM's own requests, of which it
-/// saves up to its share of the fleet's retry slack.
+/// Retry budget of one VM for one service in a sliding window: a ratio of the VM's own
+/// requests plus its share of the fleet's retry slack.
 ///
 /// Load pattern: all servers of a service refuse half of their requests for
 /// several seconds, and all VMs want to retry at once. Meanwhile, VMs are killed and
@@ -17,9 +17,10 @@
 /// its budget although the VMs do not coordinate them. Attempts that a server refuses
 /// also count.
 ///
-/// In any window, a process makes no more retries than it had saved before plus a ratio
-/// of its requests in the window. The next process of a killed VM does not know of its
-/// retries, so it has saved nothing.
+/// In any window, a process makes no more retries than its share plus a ratio of its
+/// requests in this window. Requests before the window pay for no more than the share.
+/// The next process of a killed VM does not know of the VM's retries, so it has no share
+/// in its first window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     ratio_permille: u64,
@@ -27,7 +28,7 @@
     counts: gateway::RetryCounts,
     logged_counts: gateway::RetryCounts,
     /// Retries that requests have paid for and that were not made, in thousandths of a
-    /// retry. Only this VM's share of the slack counts of it.
+    /// retry. No more than this VM's share counts.
     saved_milli: u64,
     window_ms: u64,
 }
@@ -54,13 +55,6 @@
         }
     }
 
-    /// Adds retries that no request has paid for, in thousandths of a retry.
-    #[must_use]
-    pub const fn with_saved(mut self, saved_milli: u64) -> Self {
-        self.saved_milli = saved_milli;
-        self
-    }
-
     /// Counts an attempt that is sent to a server.
     pub const fn record_arrival(&mut self) {
         self.counts.arrivals_count += 1;
@@ -108,6 +102,8 @@
         let allowed_milli = requests * self.ratio_permille + slack_milli;
         // A VM without a share can still save one retry.
         let saved_milli = self.saved_milli.min(slack_milli.max(MILLI_PER_RETRY));
+        let slack_left_milli = slack_milli.saturating_sub(retries * MILLI_PER_RETRY);
+        let saved_milli = saved_milli.max(slack_left_milli);
         if (retries + 1) * MILLI_PER_RETRY > allowed_milli || saved_milli < MILLI_PER_RETRY {
             self.counts.denied_count += 1;
             return false;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -391,17 +391,6 @@
         slack_milli * self.config.retry_slack_percent / PERCENT
     }
 
-    /// Returns the retries that this VM may make before requests have paid for them, in
-    /// thousandths of a retry: none if there may be other VMs, because they may all be
-    /// restarted again and again.
-    fn first_retries_milli(&self) -> u64 {
-        let own = self.identity.peer_address;
-        if self.identity.seeds.iter().any(|seed| *seed != own) {
-            return 0;
-        }
-        gateway::SlackShare::first_milli(self.retry_slack_milli())
-    }
-
     /// Returns a random value in `0.0..1.0`.
     #[must_use]
     pub fn random_value(&self) -> f64 {
@@ -423,8 +412,7 @@
         if !budgets.contains_key(service) {
             let bounds = &self.bounds;
             let budget =
-                gateway::RetryBudget::new(bounds.retry_window_ms, bounds.retry_ratio_permille)
-                    .with_saved(self.first_retries_milli());
+                gateway::RetryBudget::new(bounds.retry_window_ms, bounds.retry_ratio_permille);
             budgets.insert(service.to_owned(), budget);
         }
         update(&mut budgets[service])
--- a/src/gateway/slack_share.rs
+++ b/src/gateway/slack_share.rs
@@ -2,10 +2,6 @@
 
 use std::collections;
 
-/// Number of VMs that share the slack in a small fleet: three in each zone of two
-/// regions with two zones.
-const SMALL_FLEET_VM_COUNT: u64 = 12;
-
 /// Share of the fleet's retry slack that one VM may use: the smallest share that
 /// the VM had in the last window of the budget.
 ///
@@ -13,9 +9,9 @@
 /// remaining VMs grow at once, although the failed VMs may have used their shares
 /// in the same window. Therefore, a larger share applies one window later.
 ///
-/// A restarted VM does not know how much of its share it has used, nor at first
-/// how many other VMs there are. In its first window, its share is at most that of
-/// a VM in a small fleet.
+/// A restarted VM does not know how much of its share it has used, nor at first how many
+/// other VMs there are. It has no share in its first window, because VMs may be killed
+/// and restarted many times in one.
 #[derive(Clone, Debug)]
 pub struct SlackShare {
     shares: collections::VecDeque<Share>,
@@ -29,13 +25,13 @@
 }
 
 impl SlackShare {
-    /// Creates the share of a VM that starts now in a fleet that shares
-    /// `fleet_milli` thousandths of a retry.
+    /// Creates the share of a VM that starts now, with `first_milli` thousandths of a
+    /// retry in its first window.
     #[must_use]
-    pub fn new(now_ms: u64, window_ms: u64, fleet_milli: u64) -> Self {
+    pub fn new(now_ms: u64, window_ms: u64, first_milli: u64) -> Self {
         let first = Share {
             since_ms: now_ms,
-            milli: Self::first_milli(fleet_milli),
+            milli: first_milli,
         };
         Self {
             shares: [first].into(),
@@ -43,13 +39,6 @@
         }
     }
 
-    /// Returns the largest share of a VM that has just started in a fleet that shares
-    /// `fleet_milli` thousandths of a retry.
-    #[must_use]
-    pub const fn first_milli(fleet_milli: u64) -> u64 {
-        fleet_milli / SMALL_FLEET_VM_COUNT
-    }
-
     /// Records the VM's current share and returns the share that it may use, both in
     /// thousandths of a retry.
     pub fn update(&mut self, now_ms: u64, share_milli: u64) -> u64 {
