Compute with the largest numbers of an entry without overflow

What callers saw: in a debug build, connections that were closed without a response, since the choice of a server panicked. In a release build, such sums wrap around.

Cause: the warm-up time of a server, the weights of a route and the offsets of records are added as they are read. Weights that wrap to a sum of 0 would make every draw of a target panic in a release build as well; that was seen by reading and in the debug build only. An offset beyond 40 bits spilled into the era of a position.

Change: the age of a server is compared with its warm-up time, weights add up in 64 bits, and a position out of range becomes the largest one of its era, which has a next one.

An organisation with the largest allowance was admitted before too; its test stays as a guard.

--- a/src/gateway/backend_pool.rs
+++ b/src/gateway/backend_pool.rs
@@ -491,7 +491,7 @@
     ) -> Option<f64> {
         let server = self.servers.get(&incarnation)?;
         let backend = &server.backend;
-        let is_warming = server.registered_ms + backend.warmup_left_ms > now_ms;
+        let is_warming = server.is_warming(now_ms);
         let slot_share = if is_warming { WARMUP_SLOT_SHARE } else { 1.0 };
         let slots = f64::from(backend.slot_count.max(1)) * slot_share;
         let tie_break = TIE_BREAK_SPREAD * tie_break(incarnation, request.random_value);
--- a/src/gateway/backend_pool/free_slots.rs
+++ b/src/gateway/backend_pool/free_slots.rs
@@ -77,8 +77,7 @@
             return 0;
         }
         let slot_count = server.backend.slot_count.max(1);
-        let is_warming = server.registered_ms + server.backend.warmup_left_ms > now_ms;
-        let slot_count = if is_warming {
+        let slot_count = if server.is_warming(now_ms) {
             slot_count.div_ceil(2)
         } else {
             slot_count
--- a/src/gateway/tracked_server.rs
+++ b/src/gateway/tracked_server.rs
@@ -64,6 +64,11 @@
         self.constraints.permission(now_ms) == gateway::SendPermission::Granted
     }
 
+    /// Returns whether the server is still slow after its start.
+    pub(super) fn is_warming(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.registered_ms) < self.backend.warmup_left_ms
+    }
+
     /// Records the evidence from `count` requests on the server.
     ///
     /// Returns the health change if the server became suspect or ceased to be.
--- a/src/ports/route.rs
+++ b/src/ports/route.rs
@@ -47,22 +47,23 @@
 impl Route {
     /// Returns the service for a random value in `0..total_weight`.
     #[must_use]
-    pub fn target(&self, random_value: u32) -> &str {
+    pub fn target(&self, random_value: u64) -> &str {
         let mut remaining = random_value;
         for target in &self.targets {
-            if remaining < target.weight {
+            let weight = u64::from(target.weight);
+            if remaining < weight {
                 return &target.service;
             }
-            remaining -= target.weight;
+            remaining -= weight;
         }
         self.targets.last().map_or("", |target| &target.service)
     }
 
     /// Returns the sum of the weights, at least 1.
     #[must_use]
-    pub fn total_weight(&self) -> u32 {
-        let sum = self.targets.iter().map(|target| target.weight).sum::<u32>();
-        sum.max(1)
+    pub fn total_weight(&self) -> u64 {
+        let weights = self.targets.iter().map(|target| u64::from(target.weight));
+        weights.sum::<u64>().max(1)
     }
 
     /// Returns why the route is invalid, or `None` if it is valid. `services`
--- a/src/ports/store_position.rs
+++ b/src/ports/store_position.rs
@@ -4,6 +4,10 @@
 
 /// Number of bits of a packed position that hold the offset.
 const OFFSET_BITS: u32 = 40;
+/// Largest offset that a packed position holds. The offset after it still fits.
+const MAX_OFFSET: u64 = (1 << OFFSET_BITS) - 2;
+/// Largest era that a packed position holds.
+const MAX_ERA: u64 = u64::MAX >> OFFSET_BITS;
 
 /// Position of a record in the platform's store.
 ///
@@ -30,10 +34,20 @@
     }
 
     /// Returns the position as one number, in which it is passed on and compared. The
-    /// next offset is the next number.
+    /// next offset is the next number. A position out of range becomes the largest one.
     #[must_use]
     pub const fn packed(self) -> u64 {
-        (self.era << OFFSET_BITS) | self.offset
+        let era = if self.era < MAX_ERA {
+            self.era
+        } else {
+            MAX_ERA
+        };
+        let offset = if self.offset < MAX_OFFSET {
+            self.offset
+        } else {
+            MAX_OFFSET
+        };
+        (era << OFFSET_BITS) | offset
     }
 }
 
--- a/tests/admission/allowances.rs
+++ b/tests/admission/allowances.rs
@@ -460,3 +460,28 @@
 fn reports_that_overtake_each_other_lose_no_refill() {
     assert_eq!(admitted_with_reports(true), admitted_with_reports(false));
 }
+
+/// Guards against an organisation that is refused everything because its rate and burst
+/// are too large for the arithmetic.
+#[test]
+fn organisation_with_the_largest_allowance_is_admitted() {
+    let mut allowances = admission::FleetAllowances::new(allowance_fleet::BOUNDS, 1);
+    let largest = ports::Allowance {
+        burst_milli: u64::MAX,
+        rate_milli_per_s: u64::MAX,
+    };
+    allowances.set_allowances(0, [("a", largest)]);
+    let idle = indexmap::IndexSet::new();
+    let vms = admission::ServingVms {
+        idle: &idle,
+        is_serving: true,
+        member_count: 2,
+        serving: &[vm(2)],
+    };
+    allowances.set_vms(0, &vms);
+    for now_ms in (20_000..30_000).step_by(10) {
+        allowances.receive(now_ms, vm(2), &admission::UsageReport::default());
+        assert_eq!(allowances.try_admit(now_ms, "a"), Ok(()), "{now_ms}");
+        let _ = allowances.take_report(now_ms);
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -18,6 +18,8 @@
 mod degraded_use;
 #[path = "gateway/entry_points.rs"]
 mod entry_points;
+#[path = "gateway/extreme_numbers.rs"]
+mod extreme_numbers;
 #[path = "gateway/failure_spells.rs"]
 mod failure_spells;
 #[path = "gateway/fixtures.rs"]
