Accept connections whatever limit on request heads is configured

What callers saw: a VM that closes every connection, in debug and release builds, as long as the configuration has a maxHeaderBytes of 2^63 or more.

Cause: the size of the read buffer is twice the limit; the product overflows, and the HTTP library panics on a size of 0.

Change: more than 1 MiB of head is never accepted.

--- a/src/gateway/traffic_thread/caller_listener.rs
+++ b/src/gateway/traffic_thread/caller_listener.rs
@@ -30,6 +30,8 @@
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// Largest limit on a request's head that takes effect, in bytes.
+const MAX_HEADER_BYTES: usize = 1 << 20;
 /// Size of the system's send buffer for a caller where responses are large, in bytes. The
 /// system would buffer some megabytes for each caller that does not read, which are not
 /// counted. At a round trip of 10 ms, this size allows 50 Mbit/s.
@@ -124,11 +126,12 @@
             Ok::<_, convert::Infallible>(response)
         }
     });
+    let max_header_bytes = limits.max_header_bytes.min(MAX_HEADER_BYTES);
     let connection = hyper_server::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(time::Duration::from_millis(limits.idle_timeout_ms))
-        .max_header_size(limits.max_header_bytes)
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES) * 2)
+        .max_header_size(max_header_bytes)
+        .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES) * 2)
         .serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = pin::pin!(connection);
     // Errors of a caller's connection show in the outcomes of its requests.
