Do not decline a relayed request that has reached a server

What callers saw: nothing; servers could get repeated requests that no retry budget is charged for, by up to eight VMs one after the other.

Cause: a VM to which a request was relayed declined it if its last connection failed, even after a server had refused the request. The relaying VM then made another VM send it as if it were new.

Change: once a server has been sent the request, a failed connection no longer replaces the reason of the refusal, so the VM that handled the request refuses it for good.

Evidence: relayed_request_that_reached_a_server_is_not_declined failed before with its first request.

--- a/src/gateway/traffic_thread/attempt_history.rs
+++ b/src/gateway/traffic_thread/attempt_history.rs
@@ -30,7 +30,12 @@
     pub fn record(&mut self, choice: &gateway::Choice, failure: attempt::AttemptFailure) {
         self.incarnations.push(choice.incarnation);
         self.has_probed |= choice.is_probe;
-        self.last_failure_reason = Some(failure.reason);
+        // A request that a server was sent must not look like one that reached none: the
+        // VM that relays it would send it again without charging its retry budget.
+        let is_not_sent = failure.end == gateway::AttemptEnd::NotSent;
+        if !is_not_sent || self.servers_reached_count == 0 {
+            self.last_failure_reason = Some(failure.reason);
+        }
         match failure.end {
             gateway::AttemptEnd::NotSent => self.connect_failures_count += 1,
             gateway::AttemptEnd::Refused => self.servers_reached_count += 1,
