Requests that a server refused wait like any others

Callers saw: where the configuration names organisations, a request that a server had refused waited behind all requests of its priority that came later, although its caller had less time left. It also had no longest wait, and gave way first when the queue was full.

Cause: the queue ordered by "sent before or not" ahead of organisation and deadline.

Change: the field is gone from admission::Arrival, so that no order can depend on it. Within a priority and organisation, the earliest deadline is served first.

--- a/src/admission/arrival.rs
+++ b/src/admission/arrival.rs
@@ -8,9 +8,6 @@
     pub deadline_ms: u64,
     /// Expected run time of the request, in milliseconds.
     pub expected_run_ms: u64,
-    /// Whether the request has already been sent to a server. It waits behind
-    /// the first attempts of its priority.
-    pub is_retry: bool,
     /// Organisation of the caller.
     pub organisation: String,
     /// Priority; 0 is the highest.
--- a/src/admission/fair_queue.rs
+++ b/src/admission/fair_queue.rs
@@ -17,13 +17,14 @@
 /// Start-time fair queue of requests. The cost of a request is its expected run
 /// time, divided by the weight of its organisation.
 ///
-/// Requests of a higher priority are served first, and within a priority, first
-/// attempts before retries. Within these, the organisation that has received the
-/// least expected run time for its weight is served next. Ties go to the
-/// organisation whose first request has the earliest deadline. Requests of one
-/// organisation are served in order of deadline. An organisation that was idle
-/// continues at the current virtual time, so it accumulates no share while it
-/// has no requests.
+/// Requests of a higher priority are served first. Within a priority, the
+/// organisation that has received the least expected run time for its weight is
+/// served next. Ties go to the organisation whose first request has the earliest
+/// deadline. Requests of one organisation are served in order of deadline,
+/// whether they were sent to a server before or not: a caller whose request a
+/// server refused has less time left than one that has just arrived. An
+/// organisation that was idle continues at the current virtual time, so it
+/// accumulates no share while it has no requests.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FairQueue {
     /// Queued requests by request id.
@@ -47,9 +48,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct OrganisationQueue {
-    /// Whether the request is a retry, its deadline, in milliseconds, and its
-    /// id.
-    by_deadline: collections::BTreeSet<(bool, u64, u64)>,
+    /// Pairs of deadline, in milliseconds, and request id.
+    by_deadline: collections::BTreeSet<(u64, u64)>,
     /// Virtual start time of the next request of the organisation.
     next_virtual_start: u64,
     weight: u64,
@@ -69,11 +69,11 @@
     /// Returns an upper bound on the number of queued requests that would be
     /// served before a new request, if no other requests arrive.
     pub(crate) fn ahead_of(&self, request: &queued_request::QueuedRequest) -> usize {
-        let (priority, is_retry) = request.class();
+        let priority = request.arrival.priority;
         let more_urgent = self.levels.range(..priority);
         let more_urgent: usize = more_urgent.map(|(_, level)| level.len()).sum();
         let level = self.levels.get(&priority);
-        more_urgent + level.map_or(0, |level| level.ahead_of(request, is_retry))
+        more_urgent + level.map_or(0, |level| level.ahead_of(request))
     }
 
     /// Adds a request to the queue.
@@ -82,9 +82,7 @@
         let request_id = arrival.request_id;
         let level = self.levels.entry(arrival.priority).or_default();
         let queue = level.organisation(&arrival.organisation, arrival.weight);
-        queue
-            .by_deadline
-            .insert((arrival.is_retry, arrival.deadline_ms, request_id));
+        queue.by_deadline.insert((arrival.deadline_ms, request_id));
         self.by_latest_start
             .insert((request.latest_start_ms, request_id));
         let send_by_ms = arrival.send_by_ms;
@@ -105,8 +103,8 @@
         let overdue = self.by_send_time.range(..=(now_ms, u64::MAX));
         let next = overdue.min_by_key(|(send_by_ms, request_id)| {
             let request = self.by_id.get(request_id);
-            let class = request.map(queued_request::QueuedRequest::class);
-            (class, *send_by_ms, *request_id)
+            let priority = request.map(|request| request.arrival.priority);
+            (priority, *send_by_ms, *request_id)
         });
         let &(_, request_id) = next?;
         self.serve(request_id)
@@ -124,9 +122,7 @@
         let level = self.levels.get_mut(&arrival.priority);
         let queue = level.and_then(|level| level.organisations.get_mut(&arrival.organisation));
         if let Some(queue) = queue {
-            queue
-                .by_deadline
-                .remove(&(arrival.is_retry, arrival.deadline_ms, request_id));
+            queue.by_deadline.remove(&(arrival.deadline_ms, request_id));
         }
         Some(request)
     }
@@ -143,17 +139,17 @@
     ///
     /// Of the requests that would be served last, it is the one with the latest
     /// deadline of the organisation with the most requests for its weight. A
-    /// request of the same class as the new one gives way only if its
+    /// request of the same priority as the new one gives way only if its
     /// organisation has more for its weight, also after the exchange.
     pub(crate) fn pop_to_make_room(
         &mut self,
         request: &queued_request::QueuedRequest,
     ) -> Option<queued_request::QueuedRequest> {
-        let (last_class, largest) = self.last_class()?;
-        if last_class < request.class() {
+        let (last_priority, largest) = self.last_organisation()?;
+        if last_priority < request.arrival.priority {
             return None;
         }
-        if last_class == request.class() {
+        if last_priority == request.arrival.priority {
             let level = self.levels.get(&request.arrival.priority);
             let own_len = level.map_or(0, |level| level.len_of(&request.arrival.organisation));
             let own_len = own_len as u128;
@@ -163,31 +159,26 @@
                 return None;
             }
         }
-        let &(_, _, request_id) = largest.by_deadline.last()?;
+        let &(_, request_id) = largest.by_deadline.last()?;
         self.remove(request_id)
     }
 
     /// Removes and returns the request with the latest deadline of the organisation
     /// with the most requests for its weight, of those that would be served last.
     pub(crate) fn pop_last(&mut self) -> Option<queued_request::QueuedRequest> {
-        let request_id = self.last_class()?.1.by_deadline.last()?.2;
+        let request_id = self.last_organisation()?.1.by_deadline.last()?.1;
         self.remove(request_id)
     }
 
-    /// Returns the class that is served last and, of its organisations, the queue of
+    /// Returns the priority that is served last and, of its organisations, the queue of
     /// the one with the most requests for its weight.
-    fn last_class(&self) -> Option<((u32, bool), &OrganisationQueue)> {
+    fn last_organisation(&self) -> Option<(u32, &OrganisationQueue)> {
         let mut levels = self.levels.iter().rev();
         let (priority, level) = levels.find(|(_, level)| level.len() > 0)?;
         let queues = level.organisations.values();
-        let are_retries = queues
-            .clone()
-            .filter_map(OrganisationQueue::ends_with_retry);
-        let is_retry = are_retries.max()?;
-        let largest = queues
-            .filter(|queue| queue.ends_with_retry() == Some(is_retry))
-            .max_by(|a, b| a.relative_len(b.weight).cmp(&b.relative_len(a.weight)))?;
-        Some(((*priority, is_retry), largest))
+        let largest =
+            queues.max_by(|a, b| a.relative_len(b.weight).cmp(&b.relative_len(a.weight)))?;
+        Some((*priority, largest))
     }
 
     /// Returns the earliest of the latest useful start times of all requests,
@@ -236,32 +227,26 @@
     fn first(&self) -> Option<u64> {
         let queues = self.organisations.values();
         let firsts = queues.filter_map(|queue| {
-            let &(is_retry, deadline_ms, request_id) = queue.by_deadline.first()?;
-            Some((is_retry, queue.next_virtual_start, deadline_ms, request_id))
+            let &(deadline_ms, request_id) = queue.by_deadline.first()?;
+            Some((queue.next_virtual_start, deadline_ms, request_id))
         });
         firsts.min().map(|(.., request_id)| request_id)
     }
 
-    fn ahead_of(&self, request: &queued_request::QueuedRequest, is_retry: bool) -> usize {
+    fn ahead_of(&self, request: &queued_request::QueuedRequest) -> usize {
         let arrival = &request.arrival;
         let weight = arrival.weight.max(1);
         let own = self.organisations.get(&arrival.organisation);
-        let own_len = own.map_or(0, |queue| queue.len_up_to(is_retry));
+        let own_len = own.map_or(0, |queue| queue.by_deadline.len());
         let others = self
             .organisations
             .iter()
             .filter(|(name, _)| **name != arrival.organisation);
         let others: usize = others
             .map(|(_, queue)| {
-                let first_attempts = queue.len_up_to(false);
                 let fair = (own_len as u64 + 1).saturating_mul(queue.weight);
                 let fair = usize::try_from(fair.div_ceil(weight)).unwrap_or(usize::MAX);
-                if is_retry {
-                    let retries = queue.by_deadline.len() - first_attempts;
-                    first_attempts + retries.min(fair)
-                } else {
-                    first_attempts.min(fair)
-                }
+                queue.by_deadline.len().min(fair)
             })
             .sum();
         own_len + others
@@ -303,21 +288,6 @@
 }
 
 impl OrganisationQueue {
-    /// Returns the number of first attempts, and of retries too if
-    /// `with_retries`.
-    fn len_up_to(&self, with_retries: bool) -> usize {
-        if with_retries {
-            return self.by_deadline.len();
-        }
-        self.by_deadline.range(..(true, 0, 0)).count()
-    }
-
-    /// Returns whether the request to serve last is a retry; `None` if there is
-    /// none.
-    fn ends_with_retry(&self) -> Option<bool> {
-        self.by_deadline.last().map(|&(is_retry, ..)| is_retry)
-    }
-
     /// Returns the number of requests multiplied by the weight of another
     /// organisation, for a comparison of both by number and weight.
     fn relative_len(&self, other_weight: u64) -> u128 {
--- a/src/admission/queued_request.rs
+++ b/src/admission/queued_request.rs
@@ -11,10 +11,3 @@
     /// deadline.
     pub(crate) latest_start_ms: u64,
 }
-
-impl QueuedRequest {
-    /// Returns the class of the request. Lower classes are served first.
-    pub(crate) const fn class(&self) -> (u32, bool) {
-        (self.arrival.priority, self.arrival.is_retry)
-    }
-}
--- a/src/admission/service_gate.rs
+++ b/src/admission/service_gate.rs
@@ -145,7 +145,6 @@
                 return Some(self.queued_request(admission::Arrival {
                     deadline_ms,
                     expected_run_ms,
-                    is_retry: false,
                     organisation,
                     priority: 0,
                     request_id,
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -435,8 +435,7 @@
     if !routed.may_wait || !server_choice::has_open_server(shared, routed, history) {
         return Ok(None);
     }
-    let is_retry = !history.incarnations.is_empty();
-    let waited = request_queues::wait_for_slot(shared, routed, is_retry).await;
+    let waited = request_queues::wait_for_slot(shared, routed).await;
     let place = waited.map_err(|refusal| {
         history.final_response(shared, routed, refusal.reason, refusal.retry_after_ms)
     })?;
--- a/src/gateway/traffic_thread/request_queues.rs
+++ b/src/gateway/traffic_thread/request_queues.rs
@@ -27,7 +27,7 @@
 /// organisation: that of an allowance of this rate, in thousandths of a request per
 /// second. It is about the rate of the average organisation of the known deployments.
 const DEFAULT_WEIGHT: u64 = 10_000;
-/// Part of the target latency that a first attempt waits at most, as a divisor.
+/// Part of the target latency that a request waits at most, as a divisor.
 const LONGEST_WAIT_DIVISOR: u64 = 4;
 /// Part of the target latency by which a response may be expected to be late for its
 /// request to wait, as a divisor.
@@ -134,7 +134,6 @@
 pub async fn wait_for_slot(
     shared: &sync::Arc<gateway::Shared>,
     routed: &routed_request::RoutedRequest<'_>,
-    is_retry: bool,
 ) -> Result<Place, verdict::Refusal> {
     let (sender, receiver) = oneshot::channel();
     let queues = &shared.request_queues;
@@ -149,7 +148,7 @@
         shared: sync::Arc::clone(shared),
     };
     let begun_ms = shared.now_ms();
-    let arrival = arrival(shared, routed, is_retry, begun_ms, place.id);
+    let arrival = arrival(shared, routed, begun_ms, place.id);
     {
         let mut queues = queues.lock();
         let queue = queues.service(shared, routed.service);
@@ -198,7 +197,6 @@
 fn arrival(
     shared: &gateway::Shared,
     routed: &routed_request::RoutedRequest<'_>,
-    is_retry: bool,
     now_ms: u64,
     request_id: u64,
 ) -> admission::Arrival {
@@ -217,11 +215,10 @@
     admission::Arrival {
         deadline_ms,
         expected_run_ms,
-        is_retry,
         organisation: organisation.map_or_else(String::new, |known| known.name.clone()),
         priority: routed.priority,
         request_id,
-        send_by_ms: (!is_retry).then(|| now_ms.saturating_add(target_ms / LONGEST_WAIT_DIVISOR)),
+        send_by_ms: Some(now_ms.saturating_add(target_ms / LONGEST_WAIT_DIVISOR)),
         useful_until_ms: deadline_ms.min(now_ms.saturating_add(useful_ms)),
         weight: allowance.map_or(DEFAULT_WEIGHT, |allowance| {
             allowance.rate_milli_per_s.max(1)
