A VM that stops refuses by run times alone, the same for all kinds

Callers saw: on a VM that stops, a request of a route without a response yet was refused or accepted by the route's target latency, and one that may run more than once was accepted later than one that runs once, with a higher risk of being cut off.

Cause: the expected run time was the target before the first response, and four mean deviations instead of six for requests that may be repeated. Nothing is known of the run time before the first response, so what bounds it is the time for which the caller waits.

Evidence: request_decisions::expected_run_time_does_not_depend_on_the_target and .._on_the_kind.

One multiple of the deviation, the higher one, for all kinds.

--- a/src/gateway/run_time.rs
+++ b/src/gateway/run_time.rs
@@ -2,11 +2,9 @@
 
 /// Weight of the newest sample in the moving averages.
 const SMOOTHING: f64 = 0.1;
-/// Multiple of the mean deviation that few requests exceed, for a request that may run
-/// more than once.
-const HIGH_DEVIATIONS: f64 = 4.0;
-/// The same for a request that runs at most once.
-const ONCE_HIGH_DEVIATIONS: f64 = 6.0;
+/// Multiple of the mean deviation that few requests exceed: 1 in 200 if run times are
+/// distributed exponentially. The callers of these lose their request when the VM stops.
+const HIGH_DEVIATIONS: f64 = 6.0;
 
 /// Moving averages of the run time of a route's requests.
 #[derive(Clone, Copy, Debug)]
@@ -37,18 +35,13 @@
 
     /// Returns a run time that few requests exceed, in milliseconds.
     #[must_use]
-    pub fn high_ms(&self, may_repeat: bool) -> u64 {
-        let deviations = if may_repeat {
-            HIGH_DEVIATIONS
-        } else {
-            ONCE_HIGH_DEVIATIONS
-        };
+    pub fn high_ms(&self) -> u64 {
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a run time is a small positive number"
         )]
-        let high_ms = (self.mean_ms + deviations * self.deviation_ms) as u64;
+        let high_ms = (self.mean_ms + HIGH_DEVIATIONS * self.deviation_ms) as u64;
         high_ms
     }
 }
--- a/src/gateway/run_times.rs
+++ b/src/gateway/run_times.rs
@@ -28,14 +28,12 @@
         self.by_route.insert(hash, run_time::RunTime::new(run_ms));
     }
 
-    /// Returns a run time that few of the route's requests exceed, in milliseconds: the
-    /// target latency before the first response.
+    /// Returns a run time that few of the route's requests exceed, in milliseconds;
+    /// `None` before the first response.
     #[must_use]
-    pub fn high_ms(&self, route: &ports::Route) -> u64 {
+    pub fn high_ms(&self, route: &ports::Route) -> Option<u64> {
         let known = self.by_route.get(&route_hash(route));
-        known.map_or(route.target_latency_ms, |run_time| {
-            run_time.high_ms(route.kind.may_repeat())
-        })
+        known.map(run_time::RunTime::high_ms)
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -52,6 +52,8 @@
 mod registry_random;
 #[path = "gateway/relay_peers.rs"]
 mod relay_peers;
+#[path = "gateway/request_decisions.rs"]
+mod request_decisions;
 #[path = "gateway/retries.rs"]
 mod retries;
 #[path = "gateway/routes.rs"]
