A request that ends no longer makes waiting ones seem late

Callers saw: where requests wait for a free slot, some were refused as late at the moment at which another request ended, although the slots would have served them in time.

Cause: while a request ends, the queue was decided on once with neither its slot nor the free ones counted. With few slots, the expected start of those that wait doubled for that moment, and a refusal is final.

Change: the capacity that the gate is told before the end of a request is the one that holds after it.

--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -96,10 +96,9 @@
         self.unsent.swap_remove(&request_id);
         let mut actions = Vec::new();
         if self.gate.is_running(request_id) {
-            // The gate must not give its slot to another request before it is known
-            // whether the slot is free.
+            // The gate must not give its slot to another request unless the slot is free.
             let running = self.gate.in_flight_requests() - 1;
-            actions = self.set_capacity(now_ms, running, 0);
+            actions = self.set_capacity(now_ms, running, free_slots);
         }
         let event = if is_served {
             admission::GateEvent::Finish { request_id }
--- a/tests/gateway/queueing.rs
+++ b/tests/gateway/queueing.rs
@@ -213,3 +213,24 @@
     assert_eq!(admitted(queue.update(50, 0)), 0);
     assert_eq!(admitted(queue.update(75, 1)), 1);
 }
+
+/// Guards against waiting requests that are refused because, for the moment in which
+/// another one ends, its slot is not counted.
+#[test]
+fn end_of_a_request_makes_no_other_one_late() {
+    let mut queue = gateway::RequestQueue::new(16, RNG_SEED);
+    for request_id in 1..=2 {
+        queue.arrive(0, arrival(request_id, 0, 9_000), 2);
+        queue.record_choice(request_id);
+    }
+    // Two slots with runs of 50 ms start ten requests within 250 ms.
+    for request_id in 3..=12 {
+        let actions = queue.arrive(0, arrival(request_id, 0, 400), 0);
+        assert_eq!(actions, [], "{request_id}");
+    }
+    let actions = queue.finish(50, 1, true, 1);
+    let refused = actions
+        .iter()
+        .filter(|action| matches!(action, admission::GateAction::Refuse { .. }));
+    assert_eq!(refused.count(), 0, "{actions:?}");
+}
