Waits and refusals in the queue follow from the caller's time and the reports

Callers saw: where requests wait for a free slot, a request was sent into a server's queue after a quarter of the route's target latency, and refused as soon as its response was expected after one and a half targets, though its caller would have waited several times as long.

Cause: Arrival::send_by_ms and useful_until_ms were shares of targetLatencyMs, an aim. And one request for each eight running ones was sent without a free slot, a number without a reason.

Change: - A request is queued if it is expected to end within the caller's time, and leaves the queue when a run that few exceed no longer fits (mean run time before the first response, or where callers wait for less). - It is sent without a free slot once the reports that it found have been renewed or have expired (their maximum age), or at its latest start. One request at a time finds out whether slots are free; each that finds one allows one more, which then need not wait for reports that are older than what was found. - Only as many requests count on being sent without a slot as may be, so the others are refused on arrival instead of after a wait.

Evidence: request_decisions::target_latency_decides_nothing, and processes::queueing with target latencies of 1 and 8,000 ms. With the quarter of the target put back, the property and both process tests fail.

--- a/src/admission/arrival.rs
+++ b/src/admission/arrival.rs
@@ -8,6 +8,9 @@
     pub deadline_ms: u64,
     /// Expected run time of the request, in milliseconds.
     pub expected_run_ms: u64,
+    /// Time to the deadline that a queued request needs when it starts, in
+    /// milliseconds, if this is more than its expected run time requires.
+    pub needed_ms: u64,
     /// Organisation of the caller.
     pub organisation: String,
     /// Priority; 0 is the highest.
@@ -17,10 +20,6 @@
     /// Time at which the request is admitted without capacity, in milliseconds
     /// of the gate's clock; `None` if it waits for capacity until it is late.
     pub send_by_ms: Option<u64>,
-    /// Time by which the request must be expected to complete to be queued, in
-    /// milliseconds of the gate's clock; not after `deadline_ms`. A longer queue
-    /// would make all requests late under a lasting overload.
-    pub useful_until_ms: u64,
     /// Share of the capacity that the organisation gets, relative to the other
     /// organisations of its priority; at least 1.
     pub weight: u64,
--- a/src/admission/queued_request.rs
+++ b/src/admission/queued_request.rs
@@ -7,6 +7,8 @@
 pub(crate) struct QueuedRequest {
     /// The request as it arrived.
     pub(crate) arrival: admission::Arrival,
+    /// Minimum time between the start and the deadline, in milliseconds.
+    pub(crate) needed_ms: u64,
     /// Latest start time at which the request can still complete before its
     /// deadline.
     pub(crate) latest_start_ms: u64,
--- a/src/admission/service_gate.rs
+++ b/src/admission/service_gate.rs
@@ -145,11 +145,11 @@
                 return Some(self.queued_request(admission::Arrival {
                     deadline_ms,
                     expected_run_ms,
+                    needed_ms: 0,
                     organisation,
                     priority: 0,
                     request_id,
                     send_by_ms: None,
-                    useful_until_ms: u64::MAX,
                     weight: 1,
                 }));
             }
@@ -192,7 +192,9 @@
 
     fn queued_request(&self, arrival: admission::Arrival) -> queued_request::QueuedRequest {
         let needed_ms = self.needed_ms(arrival.expected_run_ms);
+        let needed_ms = needed_ms.max(arrival.needed_ms);
         queued_request::QueuedRequest {
+            needed_ms,
             latest_start_ms: arrival.deadline_ms.saturating_sub(needed_ms),
             arrival,
         }
@@ -208,19 +210,13 @@
         if is_known {
             return Vec::new();
         }
-        let needed_ms = self.needed_ms(request.arrival.expected_run_ms);
         let start_ms = self.expected_start_ms(now_ms, &request);
         // With a free slot, a request that is faster than the average may be served.
         let may_try = self.class_rates.is_some() && self.has_capacity();
-        if !may_try && start_ms.saturating_add(needed_ms) > request.arrival.deadline_ms {
+        if !may_try && start_ms.saturating_add(request.needed_ms) > request.arrival.deadline_ms {
             let reason = verdict::RefusalReason::DeadlineExceeded;
             return vec![self.refuse(now_ms, request_id, reason)];
         }
-        if !self.has_capacity()
-            && start_ms.saturating_add(needed_ms) > request.arrival.useful_until_ms
-        {
-            return vec![self.refuse(now_ms, request_id, verdict::RefusalReason::QueueFull)];
-        }
         if self.queue.len() < self.queue_limit || self.has_capacity() {
             self.queue.push(request);
             return Vec::new();
@@ -259,8 +255,9 @@
             }
         };
         let start_ms = now_ms.saturating_add(wait_ms);
-        let send_by_ms = request.arrival.send_by_ms;
-        let send_by_ms = send_by_ms.filter(|_| self.may_exceed_capacity());
+        // Those ahead are sent without capacity first.
+        let is_next = ahead <= self.overdue_room() as u64;
+        let send_by_ms = request.arrival.send_by_ms.filter(|_| is_next);
         start_ms.min(send_by_ms.unwrap_or(u64::MAX).max(now_ms))
     }
 
@@ -275,8 +272,24 @@
     }
 
     fn may_exceed_capacity(&self) -> bool {
+        self.overdue_room() > 0
+    }
+
+    /// Returns how many more requests may be admitted without capacity.
+    fn overdue_room(&self) -> usize {
         let limit = self.overdue_limit.saturating_add(self.overdue_growth);
-        self.overdue.len() < limit
+        limit.saturating_sub(self.overdue.len())
+    }
+
+    /// Removes and returns the next request that is admitted without capacity.
+    ///
+    /// After one that has found a free slot, the others need not wait: what it found is
+    /// newer than what they wait for.
+    fn pop_overdue(&mut self, now_ms: u64) -> Option<queued_request::QueuedRequest> {
+        if self.overdue_growth > 0 {
+            return self.queue.pop();
+        }
+        self.queue.pop_overdue(now_ms)
     }
 
     /// Allows more requests beyond the capacity if this one ran as fast as others.
@@ -327,7 +340,7 @@
         // These requests exceed the capacity, so they must not take it from those
         // that are next in order.
         while self.may_exceed_capacity()
-            && let Some(request) = self.queue.pop_overdue(now_ms)
+            && let Some(request) = self.pop_overdue(now_ms)
         {
             self.overdue.insert(request.arrival.request_id);
             actions.push(self.admit(now_ms, &request));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -61,6 +61,7 @@
 mod traffic_thread;
 mod use_floor;
 mod vm_resources;
+mod waiting_request;
 
 pub use backend_change::BackendChange;
 pub use backend_pool::BackendPool;
@@ -119,3 +120,4 @@
 pub use traffic_thread::request_queues::RequestQueues;
 pub use use_floor::{FloorCandidate, RequiredUse, required_servers};
 pub use vm_resources::VmResources;
+pub use waiting_request::{WaitingRequest, request_priority};
--- a/src/gateway/peer_loads.rs
+++ b/src/gateway/peer_loads.rs
@@ -6,7 +6,7 @@
 
 /// Age at which a load report expires, in milliseconds. Ten reports are sent in
 /// this time.
-const REPORT_MAX_AGE_MS: u64 = 1_500;
+pub(super) const REPORT_MAX_AGE_MS: u64 = 1_500;
 
 /// Requests in flight from the other entry VMs of the region, according to the
 /// last load report of each VM.
--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -5,13 +5,12 @@
 use crate::configs;
 use crate::state_machine::StateMachine as _;
 
-/// Number of running requests for each that may run although all slots are believed to
-/// be taken.
+/// Number of requests that may be sent at a time although all slots are believed to be
+/// taken, until one of them has found a free slot.
 ///
-/// Without this limit, all requests of an overload are sent after their longest wait,
-/// wait at the servers in order of arrival, and neither priority nor organisation
-/// counts.
-const RUNNING_PER_OVERDUE_REQUEST: u32 = 8;
+/// One is enough to find out. If the belief is right, each waits at a server in order of
+/// arrival, where neither priority nor organisation counts.
+const OVERDUE_REQUESTS: u32 = 1;
 
 /// Queue of the requests to one service that wait at this VM for a free slot.
 ///
@@ -31,16 +30,21 @@
     #[must_use]
     pub fn new(queue_limit_requests: u32, seed: u64) -> Self {
         let config = configs::admission::AdmissionConfig {
-            // A late response keeps a part of its value, so no reserve is needed.
-            least_time_left_percent: 100,
+            // Each arrival states how much time it needs.
+            least_time_left_percent: 0,
             ..configs::admission::AdmissionConfig::default()
         };
         let service = bundle::Service {
             queue_limit_requests,
             ..bundle::Service::default()
         };
+        let mut gate = admission::ServiceGate::new(&config, &service, seed);
+        let limit = admission::GateEvent::OverdueLimitChanged {
+            overdue_requests: OVERDUE_REQUESTS,
+        };
+        gate.handle(0, limit);
         Self {
-            gate: admission::ServiceGate::new(&config, &service, seed),
+            gate,
             unsent: indexmap::IndexSet::new(),
         }
     }
@@ -119,14 +123,10 @@
         let unsent = u32::try_from(self.unsent.len()).unwrap_or(u32::MAX);
         let running = u32::try_from(running).unwrap_or(u32::MAX);
         let concurrent_requests = running.saturating_add(free_slots.saturating_sub(unsent));
-        let overdue_requests = (running / RUNNING_PER_OVERDUE_REQUEST).max(1);
-        let limit = admission::GateEvent::OverdueLimitChanged { overdue_requests };
-        let mut actions = self.handle(now_ms, limit);
         let capacity = admission::GateEvent::CapacityChanged {
             concurrent_requests,
         };
-        actions.extend(self.handle(now_ms, capacity));
-        actions
+        self.handle(now_ms, capacity)
     }
 
     fn handle(&mut self, now_ms: u64, event: admission::GateEvent) -> Vec<admission::GateAction> {
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -165,7 +165,6 @@
     let path_and_query = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let fingerprint = fingerprint(path_and_query, &body);
     let relay = credentials.relay;
-    let priority = organisation.and_then(|organisation| organisation.priority);
     let mut request = routed_request::RoutedRequest {
         caller_deadline,
         fingerprint,
@@ -173,7 +172,7 @@
         key,
         memory,
         organisation,
-        priority: priority.unwrap_or(route.priority),
+        priority: gateway::request_priority(organisation, route),
         relay,
         request_id,
         route,
--- a/src/gateway/traffic_thread/request_queues.rs
+++ b/src/gateway/traffic_thread/request_queues.rs
@@ -27,11 +27,6 @@
 /// organisation: that of an allowance of this rate, in thousandths of a request per
 /// second. It is about the rate of the average organisation of the known deployments.
 const DEFAULT_WEIGHT: u64 = 10_000;
-/// Part of the target latency that a request waits at most, as a divisor.
-const LONGEST_WAIT_DIVISOR: u64 = 4;
-/// Part of the target latency by which a response may be expected to be late for its
-/// request to wait, as a divisor.
-const LATENESS_DIVISOR: u64 = 2;
 
 /// Decision on a request that waits: `None` admits it.
 type Decision = Option<verdict::Refusal>;
@@ -206,24 +201,20 @@
         clippy::cast_sign_loss,
         reason = "a run time is a small positive number"
     )]
-    let expected_run_ms = mean_run_ms as u64;
-    let target_ms = routed.route.target_latency_ms;
-    let organisation = routed.organisation;
-    let allowance = organisation.and_then(|organisation| organisation.allowance);
-    let deadline_ms = now_ms.saturating_add(routed.time_left_ms());
-    let useful_ms = target_ms.saturating_add(target_ms / LATENESS_DIVISOR);
-    admission::Arrival {
-        deadline_ms,
-        expected_run_ms,
-        organisation: organisation.map_or_else(String::new, |known| known.name.clone()),
-        priority: routed.priority,
+    let mean_run_ms = mean_run_ms as u64;
+    let allowance = routed.organisation.and_then(|known| known.allowance);
+    let request = gateway::WaitingRequest {
+        high_run_ms: shared.run_times().high_ms(routed.route),
+        mean_run_ms,
+        organisation: routed.organisation,
         request_id,
-        send_by_ms: Some(now_ms.saturating_add(target_ms / LONGEST_WAIT_DIVISOR)),
-        useful_until_ms: deadline_ms.min(now_ms.saturating_add(useful_ms)),
+        route: routed.route,
+        time_left_ms: routed.time_left_ms(),
         weight: allowance.map_or(DEFAULT_WEIGHT, |allowance| {
             allowance.rate_milli_per_s.max(1)
         }),
-    }
+    };
+    request.arrival(now_ms)
 }
 
 impl Place {
