Less urgent requests that get no turn are refused on arrival

Callers saw: while more urgent requests arrived faster than the slots could serve them, less urgent ones were queued for seconds and then refused.

Change: the rate of the more urgent requests counts less its standard error, which follows from how many requests it was measured with. Nothing is assumed beyond that.

Evidence: queueing::requests_that_get_no_turn_are_refused_at_once, queued before the change.

--- a/src/admission/class_rates.rs
+++ b/src/admission/class_rates.rs
@@ -4,11 +4,6 @@
 
 use crate::admission::completion_rate;
 
-/// Part of the capacity that is expected for every priority, as a divisor.
-///
-/// The rates are those of a few seconds. At a VM with a few requests per second, chance
-/// alone makes the arrivals of the more urgent requests exceed the capacity.
-const MIN_CAPACITY_DIVISOR: u64 = 4;
 /// Maximum number of priorities whose rates are kept. The others count as one.
 const MAX_PRIORITIES: usize = 64;
 
@@ -43,6 +38,10 @@
     ///
     /// `capacity_milli_per_s` is the estimated capacity. The rate of the requests that
     /// were admitted takes its place if it is higher.
+    ///
+    /// The rates are those of a few seconds. At a VM with a few requests per second,
+    /// chance alone makes the arrivals of the more urgent requests exceed the capacity.
+    /// Callers are refused only for what exceeds it by more than the standard error.
     pub(crate) fn available_milli_per_s(
         &mut self,
         now_ms: u64,
@@ -52,8 +51,12 @@
         let admitted = self.admitted.milli_per_s(now_ms);
         let capacity = admitted.max(capacity_milli_per_s);
         let more_urgent = self.arrived.range_mut(..priority);
-        let more_urgent: u64 = more_urgent.map(|(_, rate)| rate.milli_per_s(now_ms)).sum();
-        let available = capacity.saturating_sub(more_urgent);
-        available.max(capacity / MIN_CAPACITY_DIVISOR).max(1)
+        let more_urgent: u64 = more_urgent
+            .map(|(_, rate)| {
+                let error = rate.error_milli_per_s(now_ms);
+                rate.milli_per_s(now_ms).saturating_sub(error)
+            })
+            .sum();
+        capacity.saturating_sub(more_urgent).max(1)
     }
 }
--- a/src/admission/completion_rate.rs
+++ b/src/admission/completion_rate.rs
@@ -36,6 +36,15 @@
         (self.decayed_count * 1_000 / AVERAGING_MS * 1_000) >> FRACTION_BITS
     }
 
+    /// Returns the standard error of [`Self::milli_per_s`], if requests complete
+    /// independently of each other.
+    pub(crate) fn error_milli_per_s(&mut self, now_ms: u64) -> u64 {
+        self.decay(now_ms);
+        // The variance of a count that decays exponentially is half of its mean.
+        let variance = self.decayed_count >> (FRACTION_BITS + 1);
+        variance.isqrt() * 1_000_000 / AVERAGING_MS
+    }
+
     fn decay(&mut self, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
         self.updated_ms = self.updated_ms.max(now_ms);
--- a/tests/admission/queueing.rs
+++ b/tests/admission/queueing.rs
@@ -195,6 +195,39 @@
     assert_eq!(gate.queued_requests(), 0);
 }
 
+/// Guards against less urgent requests that wait for a turn that never comes: while more
+/// urgent ones arrive faster than they can be served, they are refused on arrival.
+#[test]
+fn requests_that_get_no_turn_are_refused_at_once() {
+    let mut gate = gate(1, 64);
+    let mut running = None;
+    for now_ms in 0..5_000_u64 {
+        let mut actions = Vec::new();
+        if now_ms.is_multiple_of(RUN_MS) {
+            let finished = running
+                .take()
+                .map(|request_id| gate.handle(now_ms, admission::GateEvent::Finish { request_id }));
+            actions.extend(finished.into_iter().flatten());
+        }
+        // A tenth more than the capacity.
+        if now_ms.is_multiple_of(RUN_MS - 1) {
+            let urgent = arrival("a", 1 + now_ms, 0);
+            actions.extend(gate.handle(now_ms, admission::GateEvent::ArriveWeighted(urgent)));
+        }
+        for action in actions {
+            if let admission::GateAction::Admit { request_id } = action {
+                running = Some(request_id);
+            }
+        }
+    }
+    let less_urgent = admission::Arrival {
+        deadline_ms: 15_000,
+        ..arrival("b", 6_000, 1)
+    };
+    let refused = "refuse 6000 deadline-exceeded";
+    assert_eq!(arrive(&mut gate, 5_000, less_urgent), refused);
+}
+
 /// Guards against a caller that has left and still takes a place or a slot.
 #[test]
 fn cancelled_request_frees_its_place_and_its_slot() {
