An organisation without an allowance weighs as the average one with an allowance

Callers saw: where some organisations have an allowance and others have none, the share of the slots that the latter got under overload did not follow from the configuration.

Cause: their weight was a rate of 10 requests/s, taken from the deployments that were known.

Change: the weight is the mean rate of the allowances in the configuration in force; if none names one, all weigh the same.

Evidence: api_keys::organisations_without_an_allowance_weigh_as_the_average; the weight was a constant before, whatever the configuration says.

--- a/src/gateway/organisation_index.rs
+++ b/src/gateway/organisation_index.rs
@@ -14,6 +14,8 @@
     by_digest: Vec<(ports::KeyDigest, u32)>,
     by_name: Vec<u32>,
     configuration: sync::Arc<ports::FleetConfiguration>,
+    /// Mean rate of the allowances, in thousandths of a request per second.
+    mean_rate_milli_per_s: u64,
     /// Secret of the entry VMs, of all keys of the configuration. Without it, a caller
     /// could make the proof of a relay from its own key, and its requests would not
     /// count towards the allowance. With a single key it is no secret.
@@ -32,6 +34,10 @@
             by_digest.extend(digests.map(|digest| (*digest, position)));
             by_name.push(position);
         }
+        let allowances = organisations.iter().filter_map(|known| known.allowance);
+        let rates = allowances.map(|allowance| u128::from(allowance.rate_milli_per_s));
+        let (count, sum) = rates.fold((0, 0), |(count, sum), rate| (count + 1, sum + rate));
+        let mean_rate = u64::try_from(sum / u128::max(count, 1)).unwrap_or(u64::MAX);
         let relay_secret = ports::KeyDigest::combined(by_digest.iter().map(|(digest, _)| digest));
         by_digest.sort_unstable();
         by_name.sort_unstable_by_key(|position| &organisations[*position as usize].name);
@@ -39,10 +45,23 @@
             by_digest,
             by_name,
             configuration,
+            mean_rate_milli_per_s: mean_rate,
             relay_secret,
         }
     }
 
+    /// Returns the share of a service's slots that an organisation gets, relative to the
+    /// others: the rate of its allowance.
+    ///
+    /// Organisations without an allowance, and requests without an organisation, weigh as
+    /// much as the average organisation with one, and all the same if there is none.
+    #[must_use]
+    pub fn weight(&self, organisation: Option<&ports::Organisation>) -> u64 {
+        let allowance = organisation.and_then(|organisation| organisation.allowance);
+        let rate = allowance.map(|allowance| allowance.rate_milli_per_s);
+        rate.unwrap_or(self.mean_rate_milli_per_s).max(1)
+    }
+
     /// Returns the proof by which another VM recognises the organisation of a key in a
     /// relayed request.
     #[must_use]
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -178,6 +178,7 @@
         route,
         may_wait: !routes.organisations.is_empty(),
         service: route.target(random_weight),
+        weight: routes.organisations.weight(organisation),
         head,
     };
     let mut history = attempt_history::AttemptHistory::default();
--- a/src/gateway/traffic_thread/request_queues.rs
+++ b/src/gateway/traffic_thread/request_queues.rs
@@ -23,10 +23,6 @@
 /// Shortest wait that is logged, in milliseconds: log lines are limited, and most requests
 /// find a free slot at once.
 const MIN_LOGGED_WAIT_MS: u64 = 10;
-/// Weight of an organisation without an allowance, and of requests without an
-/// organisation: that of an allowance of this rate, in thousandths of a request per
-/// second. It is about the rate of the average organisation of the known deployments.
-const DEFAULT_WEIGHT: u64 = 10_000;
 
 /// Decision on a request that waits: `None` admits it.
 type Decision = Option<verdict::Refusal>;
@@ -202,7 +198,6 @@
         reason = "a run time is a small positive number"
     )]
     let mean_run_ms = mean_run_ms as u64;
-    let allowance = routed.organisation.and_then(|known| known.allowance);
     let request = gateway::WaitingRequest {
         high_run_ms: shared.run_times().high_ms(routed.route),
         mean_run_ms,
@@ -210,9 +205,7 @@
         request_id,
         route: routed.route,
         time_left_ms: routed.time_left_ms(),
-        weight: allowance.map_or(DEFAULT_WEIGHT, |allowance| {
-            allowance.rate_milli_per_s.max(1)
-        }),
+        weight: routed.weight,
     };
     request.arrival(now_ms)
 }
--- a/src/gateway/traffic_thread/routed_request.rs
+++ b/src/gateway/traffic_thread/routed_request.rs
@@ -40,6 +40,8 @@
     pub may_wait: bool,
     /// Service that the route's traffic split selected for the request.
     pub service: &'a str,
+    /// Share of the slots that the organisation gets, relative to the others.
+    pub weight: u64,
 }
 
 impl RoutedRequest<'_> {
--- a/tests/gateway/api_keys.rs
+++ b/tests/gateway/api_keys.rs
@@ -52,6 +52,39 @@
     }
 }
 
+/// Guards against a weight that is not the configuration's: an organisation without an
+/// allowance weighs as much as the average one with an allowance.
+#[test]
+fn organisations_without_an_allowance_weigh_as_the_average() {
+    let with_rate = |name: &str, rate_milli_per_s| ports::Organisation {
+        allowance: Some(ports::Allowance {
+            burst_milli: 1_000,
+            rate_milli_per_s,
+        }),
+        ..organisation(name, &[])
+    };
+    let unlimited = organisation("chui", &[]);
+    let organisations = vec![
+        with_rate("asha", 500),
+        with_rate("baraka", 2_500),
+        unlimited.clone(),
+    ];
+    let weights = |organisations: &[ports::Organisation]| {
+        let routes = index(organisations.to_vec());
+        let weigh = |organisation| routes.organisations.weight(organisation);
+        let mut weights: Vec<u64> = organisations
+            .iter()
+            .map(|known| weigh(Some(known)))
+            .collect();
+        weights.push(weigh(None));
+        weights
+    };
+    assert_eq!(weights(&organisations), [500, 2_500, 1_500, 1_500]);
+    assert_eq!(weights(&[unlimited]), [1, 1]);
+    let huge = [with_rate("asha", u64::MAX), with_rate("baraka", u64::MAX)];
+    assert_eq!(weights(&huge), [u64::MAX; 3]);
+}
+
 /// Guards against a request that is taken for another organisation's, and against one
 /// without a known key that is served.
 #[test]
