A request is not given up earlier because it was sent before

Callers saw: with less than half a mean run time left, a request that a server had refused was ended, while one with as little time that had just arrived was sent.

Cause: decide_retry alone had this bound.

Change: an attempt is made as long as the caller waits, as a first one is.

--- a/src/gateway/retry_decision.rs
+++ b/src/gateway/retry_decision.rs
@@ -50,11 +50,11 @@
 /// Decides what to do with a request after a failed attempt.
 ///
 /// A request that may run only once is retried only if it is certain that the
-/// server did not run it. An attempt that cannot finish before the deadline is not
-/// made, because it would only occupy a slot.
+/// server did not run it. As a first attempt, it may be faster than the mean and is made
+/// as long as the caller waits.
 #[must_use]
 pub fn decide_retry(end: AttemptEnd, context: &RetryContext) -> RetryDecision {
-    if context.time_left_ms < context.mean_run_ms / 2 {
+    if context.time_left_ms == 0 {
         return RetryDecision::GiveUp;
     }
     if end == AttemptEnd::NotSent {
