Requests wait as long as they can still be served afterwards

Callers saw: a request that arrived at a VM without a configuration, with a key that the VM did not know yet, or at the edge of its organisation's allowance was refused after a quarter of the caller's time, often just before what it waited for arrived.

Cause: a quarter of the time in proxy, caller_identity and allowance_guard, and 1.5 s at the start. Neither follows from what the caller has or from what the VM waits for.

Change: the wait leaves the mean run time of the service (the assumed one where it is not known yet). What the VM waits for still bounds it: 3 s from the start, one confirmation (1.5 s), reports of the other VMs (500 ms). Later ones are not expected, so a request is refused then.

The waits for keys and allowances have no test of their own for the bound; they use the same expression.

--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -125,6 +125,18 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Returns the mean run time of a service's requests, in whole milliseconds.
+    pub fn mean_run_ms(&self, service: &str) -> u64 {
+        let mean_run_ms = self.backend_pool().mean_run_ms(service);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a run time is a small positive number"
+        )]
+        let mean_run_ms = mean_run_ms as u64;
+        mean_run_ms
+    }
+
     /// Updates the pool of backend servers and logs the resulting health changes.
     pub fn update_backend_pool<T>(&self, update: impl FnOnce(&mut gateway::BackendPool) -> T) -> T {
         let (result, changes) = {
--- a/src/gateway/traffic_thread/allowance_guard.rs
+++ b/src/gateway/traffic_thread/allowance_guard.rs
@@ -11,8 +11,6 @@
 /// Longest time that a request waits until the other VMs know of those before. Most VMs
 /// report within 200 ms that they are reached; two requests may wait for each other.
 const MAX_WAIT: time::Duration = time::Duration::from_millis(500);
-/// Part of the time left that a request waits at most, as a divisor.
-const WAIT_DIVISOR: u32 = 4;
 /// Interval at which a request that waits tries again.
 const WAIT_INTERVAL: time::Duration = time::Duration::from_millis(25);
 
@@ -88,7 +86,9 @@
     routed: &routed_request::RoutedRequest<'_>,
     organisation: &str,
 ) -> Result<(), admission::AllowanceRefusal> {
-    let max_wait = MAX_WAIT.min(routed.time_left() / WAIT_DIVISOR);
+    // The request must still be served after the wait.
+    let run_time = time::Duration::from_millis(shared.mean_run_ms(routed.service));
+    let max_wait = MAX_WAIT.min(routed.time_left().saturating_sub(run_time));
     let end = tokio::time::Instant::now() + max_wait;
     loop {
         let admission = shared.admit_organisation(organisation);
--- a/src/gateway/traffic_thread/attempt_history.rs
+++ b/src/gateway/traffic_thread/attempt_history.rs
@@ -58,20 +58,13 @@
         shared: &gateway::Shared,
         routed: &routed_request::RoutedRequest<'_>,
     ) -> gateway::RetryContext {
-        let mean_run_ms = shared.backend_pool().mean_run_ms(routed.service);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a run time is a small positive number"
-        )]
-        let mean_run_ms = mean_run_ms as u64;
         gateway::RetryContext {
             servers_reached_count: self.servers_reached_count,
             connect_failures_count: self.connect_failures_count,
             time_left_ms: routed.time_left_ms(),
             max_attempts: routed.max_attempts(),
             may_repeat: routed.route.kind.may_repeat(),
-            mean_run_ms,
+            mean_run_ms: shared.mean_run_ms(routed.service),
         }
     }
 
--- a/src/gateway/traffic_thread/caller_identity.rs
+++ b/src/gateway/traffic_thread/caller_identity.rs
@@ -16,9 +16,6 @@
 /// configuration, in milliseconds. Confirmations arrive every 1,300 ms or so, since each
 /// read of the store waits 1,000 ms for a change.
 const MAX_WAIT_MS: u64 = 1_500;
-/// Part of the caller's time that a request with an unknown key waits at most, as a
-/// divisor.
-const WAIT_DIVISOR: u64 = 4;
 /// Age of the last confirmation from which on a VM does not expect the next one soon, in
 /// milliseconds.
 const MAX_AWAITED_AGE_MS: u64 = 4_000;
@@ -191,7 +188,9 @@
     let Ok(_permit) = shared.identification_waits.try_acquire() else {
         return snapshot;
     };
-    let end_ms = shared.now_ms() + MAX_WAIT_MS.min(time_left_ms / WAIT_DIVISOR);
+    // The caller's request must still be served after the wait.
+    let wait_ms = time_left_ms.saturating_sub(shared.mean_run_ms(""));
+    let end_ms = shared.now_ms() + MAX_WAIT_MS.min(wait_ms);
     while must_wait(&snapshot) && shared.now_ms() < end_ms {
         tokio::time::sleep(POLL_INTERVAL).await;
         snapshot = shared.snapshot.load_full();
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -30,11 +30,6 @@
 /// Time after the start until which requests wait for the first configuration and
 /// registry, in milliseconds. Later, this VM does not know when it gets them.
 const START_WAIT_END_MS: u64 = 3_000;
-/// Longest time that a request waits for the first configuration and registry, in
-/// milliseconds.
-const MAX_START_WAIT_MS: u64 = 1_500;
-/// Part of the caller's time that a request waits at most, as a divisor.
-const START_WAIT_DIVISOR: u64 = 4;
 /// Interval at which a request checks for the first configuration and registry.
 const START_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Longest time for which a caller is expected to wait, in milliseconds.
@@ -113,14 +108,15 @@
     }
     let requested_ms = head.headers.get(&shared.headers.deadline_ms);
     let requested_ms = requested_ms.and_then(|value| value.to_str().ok()?.trim().parse().ok());
-    let snapshot = wait_for_snapshot(shared, requested_ms.unwrap_or(u64::MAX)).await;
+    let caller_left_ms = || requested_ms.map_or(u64::MAX, |ms| time_left_ms(started_at, ms));
+    let snapshot = wait_for_snapshot(shared, caller_left_ms()).await;
     let snapshot = caller_identity::wait_until_identified(
         shared,
         snapshot,
         credentials,
         caller_identity::host(&head.headers),
         head.uri.path(),
-        requested_ms.unwrap_or(u64::MAX),
+        caller_left_ms(),
     );
     let snapshot = snapshot.await;
     let routes = snapshot.routes.as_ref();
@@ -200,6 +196,12 @@
     result
 }
 
+/// Returns what is left of `caller_time_ms` from `started_at`, in milliseconds.
+fn time_left_ms(started_at: tokio::time::Instant, caller_time_ms: u64) -> u64 {
+    let elapsed_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    caller_time_ms.saturating_sub(elapsed_ms)
+}
+
 /// Returns the hash of a request's path and body; `None` if the body is not buffered.
 fn fingerprint(path_and_query: &str, body: &caller_body::CallerBody) -> Option<u64> {
     match body {
@@ -217,14 +219,15 @@
 ///
 /// Load pattern: all VMs of the fleet restart, and requests arrive while they get the
 /// configuration from the store or from each other. Most callers do not return after
-/// a refusal.
+/// a refusal. A request waits as long as it can still be served afterwards.
 async fn wait_for_snapshot(
     shared: &gateway::Shared,
     time_left_ms: u64,
 ) -> sync::Arc<gateway::Snapshot> {
-    let now_ms = shared.now_ms();
-    let wait_ms = MAX_START_WAIT_MS.min(time_left_ms / START_WAIT_DIVISOR);
-    let end_ms = START_WAIT_END_MS.min(now_ms + wait_ms);
+    // The service is not known yet, so neither is its run time.
+    let run_ms = shared.mean_run_ms("");
+    let wait_ms = time_left_ms.saturating_sub(run_ms);
+    let end_ms = START_WAIT_END_MS.min(shared.now_ms().saturating_add(wait_ms));
     loop {
         let snapshot = shared.snapshot.load_full();
         if snapshot.can_serve() || shared.now_ms() >= end_ms {
--- a/src/gateway/traffic_thread/request_queues.rs
+++ b/src/gateway/traffic_thread/request_queues.rs
@@ -191,16 +191,9 @@
     now_ms: u64,
     request_id: u64,
 ) -> admission::Arrival {
-    let mean_run_ms = shared.backend_pool().mean_run_ms(routed.service);
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a run time is a small positive number"
-    )]
-    let mean_run_ms = mean_run_ms as u64;
     let request = gateway::WaitingRequest {
         high_run_ms: shared.run_times().high_ms(routed.route),
-        mean_run_ms,
+        mean_run_ms: shared.mean_run_ms(routed.service),
         organisation: routed.organisation,
         request_id,
         route: routed.route,
