A VM that stops accepts requests as long as callers may use its address

Callers saw: a VM that stops closed idle connections after 46% of its grace time, 2.76 s of 6 s, although they may use its address for 3 s; with 10 s of grace it went on for 4.6 s.

Cause: a share of the grace time that follows from nothing the caller knows.

Change: requests are accepted for the lifetime of the entry-point response that named the address, or less if the grace time leaves callers no time to read the last responses.

Evidence: planned_stops::requests_are_accepted_as_long_as_the_address_is_valid.

--- a/src/gateway/leave.rs
+++ b/src/gateway/leave.rs
@@ -7,13 +7,9 @@
 use tokio::sync::watch;
 
 use crate::gateway;
+use crate::gateway::traffic_thread::caller_listener;
 use crate::telemetry;
 
-/// Share of the grace time for which requests are still accepted, in percent.
-///
-/// Callers keep using an entry point for some seconds after they received its
-/// address.
-const ACCEPTING_PERCENT: u64 = 46;
 /// Time between the end of the graceful shutdown and the forced termination by
 /// the platform, in milliseconds.
 const END_MARGIN_MS: u64 = 500;
@@ -30,8 +26,7 @@
 
 /// Shuts down this VM gracefully.
 ///
-/// Keeps accepting requests for a part of the grace time, then closes idle
-/// connections, and returns when no request is in flight and all responses have been
+/// Keeps accepting requests for `accepting_time`, then closes idle connections, and returns when no request is in flight and all responses have been
 /// written. `END_MARGIN_MS` before the forced termination, the requests that are still in
 /// flight get their final responses.
 pub async fn leave(shared: &sync::Arc<gateway::Shared>, closing: &watch::Sender<bool>) {
@@ -42,8 +37,8 @@
         "name=leave.begun in_flight={} grace_ms={grace_ms}",
         in_flight()
     ));
-    let accepting_ms = grace_ms * ACCEPTING_PERCENT / 100;
-    tokio::time::sleep_until(started_at + time::Duration::from_millis(accepting_ms)).await;
+    let accepting_time = accepting_time(shared.entry_point_lifetime_s(), grace_ms);
+    tokio::time::sleep_until(started_at + accepting_time).await;
     closing.send_replace(true);
     let deadline = started_at + time::Duration::from_millis(grace_ms.saturating_sub(END_MARGIN_MS));
     wait_until_idle(shared, deadline).await;
@@ -62,6 +57,17 @@
     tokio::time::sleep(FLUSH_TIME).await;
 }
 
+/// Returns the time for which requests are still accepted after the shutdown has begun.
+///
+/// Callers may use an address for the lifetime of the response that named it. A short grace
+/// time must leave them the time to read the last responses.
+#[must_use]
+pub fn accepting_time(entry_point_lifetime_s: u64, grace_ms: u64) -> time::Duration {
+    let lifetime = time::Duration::from_secs(entry_point_lifetime_s);
+    let end = time::Duration::from_millis(grace_ms.saturating_sub(END_MARGIN_MS));
+    lifetime.min(end.saturating_sub(caller_listener::LEAVE_CLOSING_TIME))
+}
+
 /// Waits until no request is in flight and all responses have been written, or until
 /// `deadline`.
 async fn wait_until_idle(shared: &gateway::Shared, deadline: tokio::time::Instant) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -80,6 +80,7 @@
 pub use health_change::HealthChange;
 pub use identification::{Identification, IdentificationRequest, identify};
 pub use identity::Identity;
+pub use leave::accepting_time;
 pub use leave_state::LeaveState;
 pub use leaving_servers::LeavingServers;
 pub use limit_notice::LimitNotice;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -125,6 +125,13 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Returns the time for which callers may cache an entry-point response, in seconds.
+    #[must_use]
+    pub fn entry_point_lifetime_s(&self) -> u64 {
+        let max_s = self.bounds.entry_point_lifetime_max_s;
+        self.config.entry_point_lifetime_s.min(max_s)
+    }
+
     /// Returns the mean run time of a service's requests, in whole milliseconds.
     pub fn mean_run_ms(&self, service: &str) -> u64 {
         let mean_run_ms = self.backend_pool().mean_run_ms(service);
--- a/src/gateway/traffic_thread/caller_listener.rs
+++ b/src/gateway/traffic_thread/caller_listener.rs
@@ -44,7 +44,7 @@
 
 /// Time that callers have, while this VM leaves, to read a response that has been written
 /// and to close the connection.
-const LEAVE_CLOSING_TIME: time::Duration = time::Duration::from_secs(2);
+pub const LEAVE_CLOSING_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// Function that serves one request.
 pub type Handler = sync::Arc<
--- a/src/gateway/traffic_thread/status_endpoints.rs
+++ b/src/gateway/traffic_thread/status_endpoints.rs
@@ -46,10 +46,7 @@
             "no entry VM is known",
         );
     }
-    let lifetime_s = shared
-        .config
-        .entry_point_lifetime_s
-        .min(shared.bounds.entry_point_lifetime_max_s);
+    let lifetime_s = shared.entry_point_lifetime_s();
     let (media_type, body) = shared.entry_points.render(&addresses, lifetime_s);
     let mut response = http::Response::new(response::full_body(body));
     let media_type = http::HeaderValue::from_static(media_type);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -36,6 +36,8 @@
 mod outdated_sources;
 #[path = "gateway/pause_detector.rs"]
 mod pause_detector;
+#[path = "gateway/planned_stops.rs"]
+mod planned_stops;
 #[path = "gateway/pull_schedule.rs"]
 mod pull_schedule;
 #[path = "gateway/queueing.rs"]
