--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -353,8 +353,8 @@
 }
 
 /// Refuses a request if this VM shuts down and an attempt may take longer than the time
-/// that is left. Before the route's first response, an attempt may take as long as the
-/// caller waits.
+/// that is left. Before the route's first response, the service's mean run time is all
+/// that is known.
 ///
 /// Load pattern: callers keep the address of a VM for some seconds after it has begun to
 /// shut down, and some requests take nearly as long as its grace time.
@@ -364,7 +364,8 @@
 ) -> Option<verdict::Refusal> {
     let left_ms = shared.leave.time_left_ms(shared.now_ms())?;
     let high_ms = shared.run_times().high_ms(routed.route);
-    (high_ms.unwrap_or(u64::MAX).min(routed.time_left_ms()) > left_ms).then(|| {
+    let high_ms = high_ms.unwrap_or_else(|| shared.mean_run_ms(routed.service));
+    (high_ms.min(routed.time_left_ms()) > left_ms).then(|| {
         let retry_after_ms = gateway::retry_after_ms(0.0, shared.random_value());
         verdict::Refusal::not_run(verdict::RefusalReason::Leaving, retry_after_ms)
     })
