A request is identified at the time at which its wait ends

Cause (by reading): whether the request must wait for a newer confirmation was decided at one time, and its identification at a later one. If the confirmation passed 1,500 ms in between, the request was refused without the wait that it was due.

Change: wait_until_identified returns the time that its decision holds for, and the request is identified by it.

--- a/src/gateway/traffic_thread/caller_identity.rs
+++ b/src/gateway/traffic_thread/caller_identity.rs
@@ -108,16 +108,16 @@
     headers.remove(&names.organisation);
 }
 
-/// Identifies the organisation of a request by a snapshot.
+/// Identifies the organisation of a request by a snapshot at a time.
 fn identify<'a>(
-    shared: &gateway::Shared,
+    now_ms: u64,
     snapshot: &gateway::Snapshot,
     routes: &'a gateway::RouteIndex,
     key: Option<ports::KeyDigest>,
     is_public: bool,
 ) -> gateway::Identification<'a> {
     let request = gateway::IdentificationRequest {
-        confirmation_age_ms: snapshot.confirmation_age_ms(shared.now_ms()),
+        confirmation_age_ms: snapshot.confirmation_age_ms(now_ms),
         is_public,
         key,
         newest_known_version: snapshot.newest_known_version,
@@ -125,19 +125,21 @@
     gateway::identify(routes, &request)
 }
 
-/// Returns the organisation of a request, or `None` if it is served without one.
+/// Returns the organisation of a request by a snapshot at a time; `None` if the request is
+/// served without one.
 ///
 /// # Errors
 ///
 /// Returns the refusal of a request whose key is unknown.
 pub fn organisation<'a>(
     shared: &gateway::Shared,
+    now_ms: u64,
     snapshot: &gateway::Snapshot,
     routes: &'a gateway::RouteIndex,
     key: Option<ports::KeyDigest>,
     is_public: bool,
 ) -> Result<Option<&'a ports::Organisation>, verdict::Refusal> {
-    match identify(shared, snapshot, routes, key, is_public) {
+    match identify(now_ms, snapshot, routes, key, is_public) {
         gateway::Identification::Organisation(organisation) => Ok(Some(organisation)),
         gateway::Identification::NoOrganisation => Ok(None),
         gateway::Identification::KeyUnknown => Err(verdict::Refusal::not_run(
@@ -155,8 +157,9 @@
     )
 }
 
-/// Waits until a request whose key is unknown can be identified, and returns the snapshot
-/// by which it can.
+/// Waits until a request whose key is unknown can be identified. Returns the snapshot by
+/// which it can, and the time at which it could: a moment later, the confirmation may be too
+/// old.
 ///
 /// Callers do not send a request again after a refusal with status 503, and a newer or
 /// confirmed configuration is usually on its way. The wait is bounded, and so is the
@@ -168,34 +171,35 @@
     host: &str,
     path: &str,
     time_left_ms: u64,
-) -> sync::Arc<gateway::Snapshot> {
-    let must_wait = |snapshot: &gateway::Snapshot| {
+) -> (sync::Arc<gateway::Snapshot>, u64) {
+    let must_wait = |snapshot: &gateway::Snapshot, now_ms| {
         let routes = snapshot.routes.as_ref();
         let Some(routes) = routes.filter(|routes| !routes.organisations.is_empty()) else {
             return false;
         };
-        let now_ms = shared.now_ms();
         let is_public = routes.find(host, path).is_some_and(|route| route.is_public);
-        let identification = identify(shared, snapshot, routes, credentials.key, is_public);
+        let identification = identify(now_ms, snapshot, routes, credentials.key, is_public);
         let age_ms = snapshot.confirmation_age_ms(now_ms);
         credentials.relay.is_none()
             && identification == gateway::Identification::ConfigurationOutdated
             && age_ms.is_some_and(|age_ms| age_ms <= MAX_AWAITED_AGE_MS)
     };
-    if !must_wait(&snapshot) {
-        return snapshot;
+    let mut now_ms = shared.now_ms();
+    if !must_wait(&snapshot, now_ms) {
+        return (snapshot, now_ms);
     }
     let Ok(_permit) = shared.identification_waits.try_acquire() else {
-        return snapshot;
+        return (snapshot, now_ms);
     };
     // The caller's request must still be served after the wait.
     let wait_ms = time_left_ms.saturating_sub(shared.mean_run_ms(""));
-    let end_ms = shared.now_ms() + MAX_WAIT_MS.min(wait_ms);
-    while must_wait(&snapshot) && shared.now_ms() < end_ms {
+    let end_ms = now_ms + MAX_WAIT_MS.min(wait_ms);
+    while must_wait(&snapshot, now_ms) && now_ms < end_ms {
         tokio::time::sleep(POLL_INTERVAL).await;
         snapshot = shared.snapshot.load_full();
+        now_ms = shared.now_ms();
     }
-    snapshot
+    (snapshot, now_ms)
 }
 
 /// Checks the key of a request again, by the configuration now in force. `version` is that
@@ -221,7 +225,8 @@
     let host = host(&routed.head.headers);
     let route = index.find(host, routed.head.uri.path());
     let is_public = route.unwrap_or(routed.route).is_public;
-    let organisation = organisation(shared, &snapshot, index, routed.key, is_public)?;
+    let now_ms = shared.now_ms();
+    let organisation = organisation(shared, now_ms, &snapshot, index, routed.key, is_public)?;
     let name = organisation.map(|organisation| &organisation.name);
     if routed.organisation.map(|known| &known.name) == name {
         return Ok(());
--- a/src/gateway/traffic_thread/proxy.rs
+++ b/src/gateway/traffic_thread/proxy.rs
@@ -118,7 +118,7 @@
         head.uri.path(),
         caller_left_ms(),
     );
-    let snapshot = snapshot.await;
+    let (snapshot, identified_ms) = snapshot.await;
     let routes = snapshot.routes.as_ref();
     let Some(routes) = routes.filter(|_| snapshot.is_start_checked) else {
         let reason = verdict::RefusalReason::NoConfiguration;
@@ -140,7 +140,8 @@
         ));
     };
     let (key, is_public) = (credentials.key, route.is_public);
-    let organisation = caller_identity::organisation(shared, &snapshot, routes, key, is_public)?;
+    let organisation =
+        caller_identity::organisation(shared, identified_ms, &snapshot, routes, key, is_public)?;
     credentials.organisation = organisation.map(|organisation| organisation.name.clone());
     let caller_time_ms = requested_ms.unwrap_or(route.timeout_ms);
     let caller_time_ms = caller_time_ms.min(MAX_CALLER_TIME_MS);
