--- a/src/admission/service_gate.rs
+++ b/src/admission/service_gate.rs
@@ -14,7 +14,8 @@
 
 const MICRO: u64 = 1_000_000;
 /// Run time, in percent of the average, up to which a request that was sent without
-/// capacity counts as one that found a free slot.
+/// capacity counts as one that found a free slot. Behind a server's running requests, it
+/// would have waited for a quarter of a run or more with up to four slots.
 const FAST_RUN_PERCENT: u64 = 125;
 
 /// Admits requests to one service up to this entry VM's share of its capacity.
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -124,10 +124,12 @@
 pub struct DistanceConfig {
     /// Cost of a server in another region, for a request of a few kilobytes.
     pub region_cost: f64,
-    /// Cost of a server in another region, for an upload. It is high because
-    /// the transfer of its bytes costs more than most responses are worth.
+    /// Cost of a server in another region, for a request whose body or response is
+    /// large. It is high because all traffic between two regions shares one link: large
+    /// transfers delay the small requests and the messages of the entry VMs on it.
     pub upload_region_cost: f64,
-    /// Cost of a server in another zone, for an upload.
+    /// Cost of a server in another zone, for a request whose body or response is
+    /// large.
     pub upload_zone_cost: f64,
     /// Cost of a server in another zone, for a request of a few kilobytes.
     pub zone_cost: f64,
--- a/src/gateway/backend_pool/risk.rs
+++ b/src/gateway/backend_pool/risk.rs
@@ -1,4 +1,4 @@
-//! Risk that a server fails a request, weighed by what the failure costs.
+//! Risk that a server fails a request, weighed by what the failure means to the caller.
 
 use crate::gateway;
 use crate::gateway::backend_pool;
@@ -15,6 +15,10 @@
 impl backend_pool::BackendPool {
     /// Removes the servers that are at least as suspect as one without evidence if the
     /// request would be lost with a failure and others of the service would not be.
+    ///
+    /// That depends on the attempts that the route still allows, not on those that were
+    /// made: the last attempt of a route with several is as final as the only one of a
+    /// route with one.
     pub(super) fn leave_probes_to_retryable_requests(
         &mut self,
         now_ms: u64,
--- a/src/gateway/retry_after.rs
+++ b/src/gateway/retry_after.rs
@@ -2,7 +2,7 @@
 //! their deadline.
 
 /// Minimum retry delay after servers refused a request, in milliseconds, before
-/// jitter.
+/// jitter. A caller that returns earlier is decided on by the same load reports.
 const MIN_RETRY_AFTER_MS: u64 = 150;
 
 /// Returns whether a request cannot finish before its deadline even on the best
@@ -26,7 +26,8 @@
 
 /// Returns the time after which a refused caller retries, in milliseconds.
 ///
-/// It is about half a mean run time, after which slots are free again.
+/// It is about half a mean run time: the requests in the slots are halfway through on
+/// average.
 /// `random_value`, a number in `0.0..1.0`, spreads the retries.
 ///
 /// Load pattern: all servers refuse half of their requests for several seconds.
--- a/src/ports/route.rs
+++ b/src/ports/route.rs
@@ -25,8 +25,8 @@
     pub path_prefix: String,
     /// Priority of the requests; 0 is the highest.
     pub priority: u32,
-    /// Latency up to which a response has its full value to the caller, in
-    /// milliseconds.
+    /// Latency that the operator aims at, in milliseconds. No decision on a request
+    /// depends on it.
     pub target_latency_ms: u64,
     /// Services that the requests are split between, with their weights.
     pub targets: Vec<RouteTarget>,
--- a/tests/gateway/queueing_replay.rs
+++ b/tests/gateway/queueing_replay.rs
@@ -601,7 +601,7 @@
             "{load:>4.1} {name:<12} {first:>6.3} {second:>6.3} {third:>6.3} {exact}"
         ));
     }
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         load mode         first second  third served   jain worst0 worst1 worst2   p50_ms   p99_ms  refused_late
          1.0 SendAtOnce    1.025  1.008  1.003   1864  1.000  0.957  0.973  1.000      220      844        0
          1.0 FirstCome     1.008  0.994  0.994   1846  0.999  0.925  0.946  0.994      377     1580        0
@@ -619,6 +619,6 @@
          3.0 FirstCome     0.333  0.595  0.824   1896  0.770  0.279  0.255  0.347     3026     6993        0
          3.0 Queue         1.021  0.828  0.828   1905  0.728  1.000  0.617  0.000      364     8664       30
          3.0 Exact         1.000  1.000  1.000   2301  0.624  1.000  0.298  0.000     7282     9721     2692
-    "#]]
+    "]]
     .assert_eq(&(lines.join("\n") + "\n"));
 }
