--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -77,7 +77,8 @@
 }
 
 /// Settings of requests that wait at the VM for a free slot of a server. They wait only
-/// where the configuration names organisations.
+/// where the configuration names organisations, whose shares an order has to keep. Where
+/// time limits are near the age of a load report, callers that wait are served less often.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WaitingConfig {
