A request that waits is tried once more before it would be late

Callers saw: with less time than load reports last, a waiting request was refused at the end of its time without having been sent, though the slots might only have seemed taken.

Cause: its time to be sent without a free slot was its latest start, and the check after that refuses it first.

Change: it is the last check before the latest start.

Evidence: request_decisions::request_is_sent_before_it_would_be_late, refused at 625 ms before the change, sent at 600 ms after it. A doc comment of leave.rs is wrapped.

--- a/src/gateway/leave.rs
+++ b/src/gateway/leave.rs
@@ -26,9 +26,10 @@
 
 /// Shuts down this VM gracefully.
 ///
-/// Keeps accepting requests for `accepting_time`, then closes idle connections, and returns when no request is in flight and all responses have been
-/// written. `END_MARGIN_MS` before the forced termination, the requests that are still in
-/// flight get their final responses.
+/// Keeps accepting requests for `accepting_time`, then closes idle connections, and returns
+/// when no request is in flight and all responses have been written. `END_MARGIN_MS`
+/// before the forced termination, the requests that are still in flight get their final
+/// responses.
 pub async fn leave(shared: &sync::Arc<gateway::Shared>, closing: &watch::Sender<bool>) {
     let started_at = tokio::time::Instant::now();
     let grace_ms = shared.bounds.grace_ms;
--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -5,6 +5,9 @@
 use crate::configs;
 use crate::state_machine::StateMachine as _;
 
+/// Interval between checks for free slots while requests wait, in milliseconds. Slots also
+/// become free by the passing of time, as that of a server's rest.
+pub(super) const CHECK_INTERVAL_MS: u64 = 25;
 /// Number of requests that may be sent at a time although all slots are believed to be
 /// taken, until one of them has found a free slot.
 ///
--- a/src/gateway/traffic_thread/request_queues.rs
+++ b/src/gateway/traffic_thread/request_queues.rs
@@ -8,15 +8,13 @@
 
 use crate::admission;
 use crate::gateway;
+use crate::gateway::request_queue;
 use crate::gateway::traffic_thread::attempt_history;
 use crate::gateway::traffic_thread::request_log;
 use crate::gateway::traffic_thread::routed_request;
 use crate::gateway::traffic_thread::server_choice;
 use crate::verdict;
 
-/// Interval between checks for free slots while requests wait. Slots also become free
-/// by the passing of time, as that of a server's rest.
-const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(25);
 /// Minimum interval between checks because of load reports, in milliseconds. With 96
 /// VMs there are 640 reports a second, and each check counts the load of all servers.
 const REPORT_CHECK_INTERVAL_MS: u64 = 5;
@@ -175,10 +173,11 @@
 
 /// Gives free slots to waiting requests at regular intervals while there are any.
 pub async fn check_regularly(shared: sync::Arc<gateway::Shared>) {
+    let check_interval = time::Duration::from_millis(request_queue::CHECK_INTERVAL_MS);
     loop {
         shared.request_queues.arrivals.notified().await;
         while shared.request_queues.lock().has_waiting_requests() {
-            tokio::time::sleep(CHECK_INTERVAL).await;
+            tokio::time::sleep(check_interval).await;
             let now_ms = shared.now_ms();
             shared.request_queues.lock().check(&shared, now_ms);
         }
--- a/src/gateway/waiting_request.rs
+++ b/src/gateway/waiting_request.rs
@@ -2,6 +2,7 @@
 
 use crate::admission;
 use crate::gateway::peer_loads;
+use crate::gateway::request_queue;
 use crate::ports;
 
 /// Request that is to wait at this VM for a free slot of a server.
@@ -34,9 +35,11 @@
         let needed_ms = needed_ms.unwrap_or(self.mean_run_ms);
         let deadline_ms = now_ms.saturating_add(self.time_left_ms);
         // By then, each report by which the slots seem to be taken has been renewed or has
-        // expired. A caller with less time is served now or not at all.
+        // expired. Where callers have less time, the last check before the request would be
+        // late decides.
         let reports_end_ms = now_ms.saturating_add(peer_loads::REPORT_MAX_AGE_MS);
         let latest_start_ms = deadline_ms.saturating_sub(needed_ms);
+        let last_check_ms = latest_start_ms.saturating_sub(request_queue::CHECK_INTERVAL_MS);
         admission::Arrival {
             deadline_ms,
             expected_run_ms: self.mean_run_ms,
@@ -46,7 +49,7 @@
                 .map_or_else(String::new, |known| known.name.clone()),
             priority: request_priority(self.organisation, self.route),
             request_id: self.request_id,
-            send_by_ms: Some(reports_end_ms.min(latest_start_ms)),
+            send_by_ms: Some(reports_end_ms.min(last_check_ms)),
             weight: self.weight,
         }
     }
--- a/tests/gateway/request_decisions.rs
+++ b/tests/gateway/request_decisions.rs
@@ -150,3 +150,25 @@
         }
     }
 }
+
+/// Guards against a request that is refused without a try because its caller's time ends
+/// before the reports expire by which the slots seem to be taken.
+#[test]
+fn request_is_sent_before_it_would_be_late() {
+    let route = route(500);
+    let mut queue = gateway::RequestQueue::new(8, RNG_SEED);
+    let request = gateway::WaitingRequest {
+        high_run_ms: Some(300),
+        mean_run_ms: 100,
+        organisation: None,
+        request_id: 1,
+        route: &route,
+        time_left_ms: 900,
+        weight: 1,
+    };
+    assert_eq!(queue.arrive(7, request.arrival(7), 0), []);
+    let mut checks = (25..=2_000_u64).step_by(25);
+    let decision = checks.find_map(|now_ms| Some((now_ms, queue.update(now_ms, 0).pop()?)));
+    let admitted = admission::GateAction::Admit { request_id: 1 };
+    assert_eq!(decision, Some((600, admitted)));
+}
