--- a/review/standins-3/support.rs
+++ b/review/standins-3/support.rs
@@ -8,6 +8,7 @@
 use std::fs;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
@@ -23,6 +24,25 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+}
+
+/// `struct linger` of the C library.
+#[repr(C)]
+struct Linger {
+    is_on: i32,
+    seconds: i32,
+}
+
+/// Makes the system reset a connection when it is closed.
+pub fn reset_on_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = Linger { is_on: 1, seconds: 0 };
+    // SAFETY: the socket is open, and the value is as long as stated.
+    unsafe {
+        setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &raw const linger, 8);
+    }
 }
 
 /// Time after which a case ends as not run, with all processes that it started.
@@ -629,12 +649,19 @@
                 continue;
             }
             if !(self.answer)(self, &request, &mut reader.stream) {
-                let _ = reader.stream.shutdown(Shutdown::Both);
+                self.forget(&reader.stream);
                 return;
             }
         }
     }
 
+    /// Drops the server's other handle of a connection, so that the connection is closed.
+    fn forget(&self, stream: &TcpStream) {
+        let peer = stream.peer_addr().ok();
+        let mut connections = self.connections.lock().unwrap();
+        connections.retain(|connection| connection.peer_addr().ok() != peer);
+    }
+
     pub fn note_finished(&self, id: &str) {
         self.finished.lock().unwrap().push(id.to_owned());
         self.record.note(format!("server {} has run {id}", self.id));
@@ -650,14 +677,23 @@
     )
 }
 
-/// Answer of a sound server: runs for some time and sends its body.
-pub fn sound(run_ms: u64) -> Answer {
+/// Answer of a sound server: runs for some time, from half to one and a half times the mean,
+/// and sends its body.
+pub fn sound(mean_ms: u64) -> Answer {
+    sound_with(move |id| {
+        let mixed = id.bytes().fold(7_u64, |mixed, byte| mixed.wrapping_mul(31) ^ u64::from(byte));
+        mean_ms / 2 + mixed % mean_ms.max(1)
+    })
+}
+
+/// Answer of a sound server whose run times follow from the ids of requests.
+pub fn sound_with(run_ms: impl Fn(&str) -> u64 + Send + Sync + 'static) -> Answer {
     Arc::new(move |server, request, stream| {
-        thread::sleep(Duration::from_millis(run_ms));
+        let id = request.header("foxtailwinch-request-id").unwrap_or("");
+        thread::sleep(Duration::from_millis(run_ms(id)));
         if server.has_exited() {
             return false;
         }
-        let id = request.header("foxtailwinch-request-id").unwrap_or("");
         server.note_finished(id);
         let body = format!("{} ran {id}", server.id);
         let head = success_head(server, id, &format!("Content-Length: {}", body.len()));
