--- a/review/standins-3/support.rs
+++ b/review/standins-3/support.rs
@@ -564,6 +564,7 @@
     answer: Answer,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     has_exited: Arc<AtomicBool>,
+    is_leaving: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -578,6 +579,7 @@
             answer,
             connections: Arc::default(),
             has_exited: Arc::default(),
+            is_leaving: Arc::default(),
         };
         let serving = server.clone();
         thread::spawn(move || {
@@ -605,6 +607,11 @@
         let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
     }
 
+    /// Lets the server state in all its answers from now on that it leaves.
+    pub fn begin_leaving(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     pub fn has_exited(&self) -> bool {
         self.has_exited.load(Ordering::SeqCst)
     }
@@ -670,9 +677,11 @@
 
 /// Returns the head of a server's success, with further header lines.
 pub fn success_head(server: &Server, id: &str, lines: &str) -> String {
+    let is_leaving = server.is_leaving.load(Ordering::SeqCst);
+    let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
     format!(
         "HTTP/1.1 200 OK\r\nFoxtailwinch-Request-Id: {id}\r\n\
-         Foxtailwinch-Server-Signature: sig-{}-{id}\r\n{lines}\r\n\r\n",
+         Foxtailwinch-Server-Signature: sig-{}-{id}\r\n{leaving}{lines}\r\n\r\n",
         server.id
     )
 }
