--- a/review/standins-3/support.rs
+++ b/review/standins-3/support.rs
@@ -612,6 +612,11 @@
         self.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Header line that a leaving server has in all its answers; empty for another one.
+    fn leaving_line(&self) -> &'static str {
+        if self.is_leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" }
+    }
+
     pub fn has_exited(&self) -> bool {
         self.has_exited.load(Ordering::SeqCst)
     }
@@ -634,8 +639,10 @@
             let path = request.word(1).to_owned();
             if path == "/health" {
                 let head = format!(
-                    "HTTP/1.1 200 OK\r\nFoxtailwinch-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
-                    self.id
+                    "HTTP/1.1 {}\r\nFoxtailwinch-Instance-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
+                    if self.leaving_line().is_empty() { "200 OK" } else { "503 Leaving" },
+                    self.id,
+                    self.leaving_line()
                 );
                 if reader.stream.write_all(head.as_bytes()).is_err() {
                     return;
@@ -648,7 +655,8 @@
             if request.header("foxtailwinch-expect-instance") != Some(self.id.as_str()) {
                 let head = format!(
                     "HTTP/1.1 421 X\r\nFoxtailwinch-Request-Id: {id}\r\n\
-                     Foxtailwinch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                     Foxtailwinch-Not-Executed: 1\r\n{}Content-Length: 0\r\n\r\n",
+                    self.leaving_line()
                 );
                 if reader.stream.write_all(head.as_bytes()).is_err() {
                     return;
@@ -677,8 +685,7 @@
 
 /// Returns the head of a server's success, with further header lines.
 pub fn success_head(server: &Server, id: &str, lines: &str) -> String {
-    let is_leaving = server.is_leaving.load(Ordering::SeqCst);
-    let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+    let leaving = server.leaving_line();
     format!(
         "HTTP/1.1 200 OK\r\nFoxtailwinch-Request-Id: {id}\r\n\
          Foxtailwinch-Server-Signature: sig-{}-{id}\r\n{leaving}{lines}\r\n\r\n",
